Lay out the package, its shared values and its checks

Cause: the repository is empty; parts built side by side need one vocabulary. Before: nothing. Conclusion: the parts can be built against fixed interfaces.

--- /dev/null
+++ b/src/rosemaryridge/codes/_caller.py
@@ -0,0 +1,69 @@
+"""Number what a caller's connection or statement can be refused for."""
+
+from rosemaryridge.codes._registry import define
+from rosemaryridge.model import Outcome
+
+UNKNOWN_SERVICE = define(
+    1001,
+    "unknown_service",
+    Outcome.NOT_RUN,
+    "3D000",
+    "No service has the name given as the database.",
+    "Check the database name against the published services.",
+)
+WRONG_ACCOUNT = define(
+    1002,
+    "wrong_account",
+    Outcome.NOT_RUN,
+    "28P01",
+    "The account or its password is not the service's.",
+    "Check the user and password.",
+)
+STATEMENT_TOO_LARGE = define(
+    1003,
+    "statement_too_large",
+    Outcome.NOT_RUN,
+    "54000",
+    "The statement is larger than the proxy accepts.",
+    "Split the statement or raise the limit.",
+)
+UNSUPPORTED_FEATURE = define(
+    1004,
+    "unsupported_feature",
+    Outcome.NOT_RUN,
+    "0A000",
+    "The proxy does not support this feature.",
+    "Use another way, or connect to a target directly.",
+)
+TOO_MANY_CALLERS = define(
+    1005,
+    "too_many_callers",
+    Outcome.NOT_RUN,
+    "53300",
+    "The proxy serves as many callers as it may.",
+    "Connect again after a pause; the balancer may choose another proxy.",
+)
+SHUTTING_DOWN = define(
+    1006,
+    "shutting_down",
+    Outcome.NOT_RUN,
+    "57P01",
+    "The proxy is shutting down.",
+    "Connect again; another proxy will answer.",
+)
+CANCELED = define(
+    1007,
+    "canceled",
+    Outcome.UNKNOWN,
+    "57014",
+    "The caller cancelled the statement.",
+    "Look up the outcome if it was a write.",
+)
+BAD_SETTING = define(
+    1008,
+    "bad_setting",
+    Outcome.NOT_RUN,
+    "22023",
+    "A rosemaryridge setting has a value that is not allowed.",
+    "Correct the value.",
+)
--- /dev/null
+++ b/src/rosemaryridge/codes/_request.py
@@ -0,0 +1,53 @@
+"""Number how the run of a request can end."""
+
+from rosemaryridge.codes._registry import define
+from rosemaryridge.model import Outcome
+
+CONNECTION_LOST_NOT_SENT = define(
+    4001,
+    "connection_lost_not_sent",
+    Outcome.NOT_RUN,
+    "08006",
+    "The connection to the target was lost before the request was sent.",
+    "Send the request again.",
+)
+CONNECTION_LOST = define(
+    4002,
+    "connection_lost",
+    Outcome.UNKNOWN,
+    "08007",
+    "The connection to the target was lost after the request was sent.",
+    "Look up the outcome by the request key.",
+)
+READ_FAILED = define(
+    4003,
+    "read_failed",
+    Outcome.NOT_RUN,
+    "08006",
+    "A read failed and changed nothing.",
+    "Send the request again.",
+)
+DEADLINE_PASSED = define(
+    4004,
+    "deadline_passed",
+    Outcome.UNKNOWN,
+    "57014",
+    "The deadline passed after the request was sent.",
+    "Look up the outcome by the request key.",
+)
+KEY_ALREADY_RUN = define(
+    4005,
+    "key_already_run",
+    Outcome.DONE,
+    "00000",
+    "A request with this key ran before; its first outcome is returned.",
+    "Nothing.",
+)
+TRANSACTION_LOST = define(
+    4006,
+    "transaction_lost",
+    Outcome.NOT_RUN,
+    "40001",
+    "The transaction's connection was lost before COMMIT was sent.",
+    "Run the transaction again.",
+)
--- /dev/null
+++ b/src/rosemaryridge/exceptions.py
@@ -0,0 +1,47 @@
+"""Hold every exception that the package raises."""
+
+from rosemaryridge.codes import Code
+
+
+class RosemaryridgeError(Exception):
+    """Be the base of every error of the package."""
+
+
+class Refusal(RosemaryridgeError):
+    """Carry a numbered result code to the caller.
+
+    `detail` says what was wrong and where; `retry_after_s` tells the caller when
+    to come back, in seconds, and is None where a repeat cannot help.
+    """
+
+    def __init__(
+        self, code: Code, detail: str = "", retry_after_s: float | None = None
+    ):
+        super().__init__(f"{code.number} {code.name}: {detail or code.meaning}")
+        self.code = code
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+class SettingsError(RosemaryridgeError):
+    """List every fault found in a settings or service file."""
+
+    def __init__(self, faults: tuple[str, ...]):
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class StoreError(RosemaryridgeError):
+    """Report a failed call to the platform's object API."""
+
+
+class StoreConflict(StoreError):
+    """Report that an object's version was not the expected one."""
+
+
+class StoreUnavailable(StoreError):
+    """Report that the object API gave no answer; the change may have been made."""
+
+
+class PeerUnavailable(RosemaryridgeError):
+    """Report that a peer could not be reached or did not answer in time."""
--- /dev/null
+++ b/src/rosemaryridge/peer/__init__.py
@@ -0,0 +1,6 @@
+"""Carry messages between proxies."""
+
+from rosemaryridge.peer._bus import PeerBus
+from rosemaryridge.peer._bus import PeerMessage
+
+__all__ = ["PeerBus", "PeerMessage"]
--- /dev/null
+++ b/src/rosemaryridge/timer/__init__.py
@@ -0,0 +1,8 @@
+"""Provide time and timers to every part."""
+
+from rosemaryridge.timer._loop import LoopTimer
+from rosemaryridge.timer._manual import ManualTimer
+from rosemaryridge.timer._service import Subscription
+from rosemaryridge.timer._service import TimerService
+
+__all__ = ["LoopTimer", "ManualTimer", "Subscription", "TimerService"]
