Read settings and service files with every fault reported at once

Parts need typed settings and services before they can run. A new field is one line in its section's class.

--- /dev/null
+++ b/src/rosemaryridge/config/_check.py
@@ -0,0 +1,208 @@
+"""Turn plain documents into frozen data classes and report every fault at once."""
+
+import dataclasses
+import difflib
+import enum
+import types
+import typing as t
+
+from rosemaryridge.config._converters import CONVERTERS
+from rosemaryridge.config._fields import Between
+from rosemaryridge.config._fields import NotEmpty
+from rosemaryridge.config._fields import is_required
+from rosemaryridge.config._fields import note_of
+
+_INVALID: t.Final = object()
+_FOUND_MAX_CHARS = 60
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """Name one fault: the file, the path in the document, found and allowed."""
+
+    file: str
+    path: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.path}: found {self.found}; allowed: {self.allowed}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """Name what a rule found wrong, by its path below the checked object."""
+
+    path: str
+    found: str
+    allowed: str
+
+
+Rule = t.Callable[[t.Any], t.Iterable[Problem]]
+
+_RULES: dict[type, list[Rule]] = {}
+
+
+def rule(kind: type) -> t.Callable[[Rule], Rule]:
+    """Register a check that runs on each well-formed object of a class."""
+
+    def register(check: Rule) -> Rule:
+        _RULES.setdefault(kind, []).append(check)
+        return check
+
+    return register
+
+
+def show(value: t.Any) -> str:
+    """Return a value as the operator wrote it, cut to a line."""
+    if isinstance(value, dict):
+        return "an object"
+    if isinstance(value, list):
+        return f"a list of {len(value)}"
+    text = "null" if value is None else repr(value)
+    if len(text) > _FOUND_MAX_CHARS:
+        return text[: _FOUND_MAX_CHARS - 3] + "..."
+    return text
+
+
+def join(path: str, key: str) -> str:
+    """Return the path of a key below another path."""
+    if not path or not key:
+        return path or key
+    return f"{path}{key}" if key.startswith("[") else f"{path}.{key}"
+
+
+class Checker:
+    """Build configuration objects from one file and collect its faults.
+
+    `internal` gives the values of fields that no file may set.
+    """
+
+    def __init__(self, file: str, **internal: t.Any):
+        self.file = file
+        self._internal = internal
+        self.faults: list[Fault] = []
+
+    def build(self, kind: t.Any, value: t.Any, path: str = "") -> t.Any:
+        """Return an object of a type; where a fault was found, the result is void."""
+        origin = t.get_origin(kind)
+        if origin is t.Annotated:
+            return self._build_bounded(kind, value, path)
+        if origin in (types.UnionType, t.Union):
+            return self._build_optional(kind, value, path)
+        if origin is tuple:
+            return self._build_tuple(kind, value, path)
+        if dataclasses.is_dataclass(kind) and kind not in CONVERTERS:
+            return self._build_class(kind, value, path)
+        if isinstance(kind, type) and issubclass(kind, enum.Enum):
+            return self._build_enum(kind, value, path)
+        return self._build_leaf(kind, value, path)
+
+    def fault(self, path: str, found: str, allowed: str) -> t.Any:
+        """Record a fault and return the mark of a void value."""
+        self.faults.append(Fault(self.file, path or "(document)", found, allowed))
+        return _INVALID
+
+    def _build_leaf(self, kind: t.Any, value: t.Any, path: str) -> t.Any:
+        convert, allowed = CONVERTERS[kind]
+        try:
+            return convert(value)
+        except ValueError:
+            return self.fault(path, show(value), allowed)
+
+    def _build_bounded(self, kind: t.Any, value: t.Any, path: str) -> t.Any:
+        base, *bounds = t.get_args(kind)
+        built = self.build(base, value, path)
+        if built is _INVALID:
+            return built
+        for bound in bounds:
+            if not _within(built, bound):
+                return self.fault(path, show(value), str(bound))
+        return built
+
+    def _build_optional(self, kind: t.Any, value: t.Any, path: str) -> t.Any:
+        if value is None:
+            return None
+        (inner,) = (arg for arg in t.get_args(kind) if arg is not type(None))
+        return self.build(inner, value, path)
+
+    def _build_tuple(self, kind: t.Any, value: t.Any, path: str) -> t.Any:
+        if not isinstance(value, list):
+            return self.fault(path, show(value), "a list")
+        inner = t.get_args(kind)[0]
+        items = enumerate(value)
+        built = [self.build(inner, item, f"{path}[{i}]") for i, item in items]
+        return _INVALID if _INVALID in built else tuple(built)
+
+    def _build_enum(self, kind: type[enum.Enum], value: t.Any, path: str) -> t.Any:
+        names = {member.name.lower(): member for member in kind}
+        if isinstance(value, str) and value in names:
+            return names[value]
+        return self.fault(path, show(value), f"one of {', '.join(names)}")
+
+    def _build_class(self, kind: type, value: t.Any, path: str) -> t.Any:
+        if not isinstance(value, dict):
+            return self.fault(path, show(value), "an object")
+        fields = dataclasses.fields(kind)
+        public = [field for field in fields if not note_of(field).internal]
+        self._refuse_unknown(value, [field.name for field in public], path)
+        given = self._build_fields(kind, public, value, path)
+        if _INVALID in given.values():
+            return _INVALID
+        for field in fields:
+            if note_of(field).internal:
+                given[field.name] = self._internal[field.name]
+        built = kind(**given)
+        self._apply_rules(built, path)
+        return built
+
+    def _build_fields(
+        self, kind: type, fields: list[dataclasses.Field], value: dict, path: str
+    ) -> dict[str, t.Any]:
+        hints = t.get_type_hints(kind, include_extras=True)
+        given = {}
+        for field in fields:
+            where = join(path, field.name)
+            if field.name in value:
+                hint = hints[field.name]
+                given[field.name] = self._build_field(
+                    field, hint, value[field.name], where
+                )
+            elif is_required(field):
+                given[field.name] = self.fault(
+                    where, "nothing", "a value; the key is required"
+                )
+        return given
+
+    def _build_field(
+        self, field: dataclasses.Field, hint: t.Any, value: t.Any, path: str
+    ) -> t.Any:
+        before = len(self.faults)
+        built = self.build(hint, value, path)
+        if note_of(field).secret:
+            hidden = (
+                dataclasses.replace(fault, found="a secret")
+                for fault in self.faults[before:]
+            )
+            self.faults[before:] = hidden
+        return built
+
+    def _refuse_unknown(self, value: dict, known: list[str], path: str) -> None:
+        for key in value:
+            if key not in known:
+                near = difflib.get_close_matches(key, known, n=1, cutoff=0.5)
+                allowed = f"did you mean {near[0]!r}?" if near else ", ".join(known)
+                self.fault(join(path, key), "an unknown key", allowed)
+
+    def _apply_rules(self, built: t.Any, path: str) -> None:
+        for check in _RULES.get(type(built), ()):
+            for problem in check(built):
+                self.fault(join(path, problem.path), problem.found, problem.allowed)
+
+
+def _within(value: t.Any, bound: t.Any) -> bool:
+    if isinstance(bound, Between):
+        return bound.low <= value <= bound.high
+    if isinstance(bound, NotEmpty):
+        return len(value) > 0
+    return True
--- a/src/rosemaryridge/config/_service.py
+++ b/src/rosemaryridge/config/_service.py
@@ -2,9 +2,20 @@
 
 import dataclasses
 import enum
-
+import typing as t
+
+from rosemaryridge.config._fields import Between
+from rosemaryridge.config._fields import Count
+from rosemaryridge.config._fields import Name
+from rosemaryridge.config._fields import NotEmpty
+from rosemaryridge.config._fields import Positive
+from rosemaryridge.config._fields import Seconds
+from rosemaryridge.config._fields import Share
+from rosemaryridge.config._fields import setting
 from rosemaryridge.model import Endpoint
 
+_LONGEST_DEADLINE_S = 3_600.0
+
 
 class Priority(enum.IntEnum):
     """Order requests when a target is short of connections; lower is shed last."""
@@ -18,12 +29,12 @@
 class TargetConfig:
     """Describe one target of a service's database group."""
 
-    name: str
-    endpoint: Endpoint
-    failure_domain: str
-    region: str = ""
-    slots: int = 3
-    max_connections: int = 45
+    name: Name = setting(doc="Name of the target.")
+    endpoint: Endpoint = setting(doc="Address of the target's PostgreSQL.")
+    failure_domain: Name = setting(doc="Failure domain of the target.")
+    region: str = setting("", "Region of the target.")
+    slots: Positive = setting(3, "Transactions that it runs at once.")
+    max_connections: Positive = setting(45, "Connections that it accepts.")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,9 +44,11 @@
     `verifier` is a SCRAM-SHA-256 verifier as PostgreSQL stores it.
     """
 
-    user: str
-    business: str
-    verifier: str
+    user: Name = setting(doc="User name.")
+    business: Name = setting(doc="Business that the account's requests count to.")
+    verifier: Name = setting(
+        doc="SCRAM-SHA-256 verifier, as PostgreSQL stores it.", secret=True
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,11 +60,15 @@
     only the session's own position binds. The first rule that matches applies.
     """
 
-    name: str
-    pattern: str
-    max_age_s: float | None = None
-    idempotent: bool = False
-    priority: Priority = Priority.NORMAL
+    name: Name = setting(doc="Name of the rule.")
+    pattern: Name = setting(
+        doc="Regular expression, searched for in the statement without case."
+    )
+    max_age_s: Seconds | None = setting(
+        None, "Age of data that its reads accept; null: the session's own writes bind."
+    )
+    idempotent: bool = setting(False, "Whether it may run twice.")
+    priority: Priority = setting(Priority.NORMAL, "Order in which requests are shed.")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,10 +80,10 @@
     may wait at one proxy.
     """
 
-    name: str
-    share: float = 1.0
-    retry_ratio: float = 0.1
-    queue_limit: int = 200
+    name: Name = setting(doc="Name of the business.")
+    share: Share = setting(1.0, "Share of slots and connections kept for it.")
+    retry_ratio: Share = setting(0.1, "Retries allowed for each success.")
+    queue_limit: Count = setting(200, "Requests that may wait at one proxy.")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,12 +94,18 @@
     `read_functions` are functions that reads may call, in lower case.
     """
 
-    name: str
-    revision: int
-    database: str
-    targets: tuple[TargetConfig, ...]
-    accounts: tuple[AccountConfig, ...] = ()
-    businesses: tuple[BusinessConfig, ...] = ()
-    rules: tuple[RequestRule, ...] = ()
-    read_functions: tuple[str, ...] = ()
-    default_deadline_s: float = 5.0
+    name: Name = setting(doc="Name of the service, that callers give as database.")
+    revision: int = setting(doc="Version in the object store.", internal=True)
+    database: Name = setting(doc="Name of the database on the targets.")
+    targets: t.Annotated[tuple[TargetConfig, ...], NotEmpty()] = setting(
+        doc="Targets of the database group."
+    )
+    accounts: tuple[AccountConfig, ...] = setting((), "Accounts of callers.")
+    businesses: tuple[BusinessConfig, ...] = setting((), "Businesses that share it.")
+    rules: tuple[RequestRule, ...] = setting((), "Rules for requests, in order.")
+    read_functions: tuple[str, ...] = setting(
+        (), "Functions that change nothing, in lower case."
+    )
+    default_deadline_s: t.Annotated[float, Between(0.01, _LONGEST_DEADLINE_S)] = (
+        setting(5.0, "Deadline of a request that gives none.")
+    )
--- /dev/null
+++ b/src/rosemaryridge/config/_settings.py
@@ -0,0 +1,180 @@
+"""Define the settings of one proxy process, a data class for each section."""
+
+import dataclasses
+import enum
+
+from rosemaryridge.config._fields import Count
+from rosemaryridge.config._fields import Name
+from rosemaryridge.config._fields import Positive
+from rosemaryridge.config._fields import Seconds
+from rosemaryridge.config._fields import Share
+from rosemaryridge.config._fields import setting
+from rosemaryridge.model import Endpoint
+
+_KIB = 1024
+
+
+class LogLevel(enum.IntEnum):
+    """Order log lines by weight."""
+
+    DEBUG = 10
+    INFO = 20
+    WARNING = 30
+    ERROR = 40
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallersSettings:
+    """Serve callers."""
+
+    listen: Endpoint = setting(Endpoint("127.0.0.1", 6432), "Address for callers.")
+    max_callers: Positive = setting(
+        12_000, "Callers' connections served at once.", live=True
+    )
+    max_statement_bytes: Positive = setting(
+        1024 * _KIB, "Largest statement, in bytes.", live=True
+    )
+    login_timeout_s: Seconds = setting(10.0, "Time for a caller to log in.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersSettings:
+    """Talk to the other proxies."""
+
+    listen: Endpoint = setting(
+        Endpoint("127.0.0.1", 6433), "Address for other proxies, told to them as well."
+    )
+    seeds: tuple[Endpoint, ...] = setting(
+        (), "Proxies to ask when the object API is down."
+    )
+    connect_timeout_s: Seconds = setting(2.0, "Time to open a stream to a peer.")
+    ask_timeout_s: Seconds = setting(2.0, "Time for a peer to answer.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdminSettings:
+    """Serve health, metrics and status pages."""
+
+    listen: Endpoint = setting(
+        Endpoint("127.0.0.1", 6434), "Address for /healthz, /metrics and /status."
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Call the platform's object API."""
+
+    base_url: Name = setting(doc="Base URL, such as http://10.0.0.5:8080.")
+    connect_timeout_s: Seconds = setting(1.0, "Time to open a connection.")
+    timeout_s: Seconds = setting(3.0, "Time for one call, a watch's wait aside.")
+    calls_per_s: Positive = setting(20, "Calls a second that the process may make.")
+    call_burst: Positive = setting(40, "Calls that it may make at once.")
+    watch_wait_s: Seconds = setting(30.0, "Longest wait of one watch.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicesSettings:
+    """Follow the published services."""
+
+    watchers: Positive = setting(5, "Proxies that watch the object API for the others.")
+    exchange_period_s: Seconds = setting(
+        2.0, "Time between two comparisons with a peer."
+    )
+    rearm_jitter: Share = setting(0.2, "Share by which a watch's wait varies.")
+    retry_base_s: Seconds = setting(0.5, "First pause after a failed watch.")
+    retry_max_s: Seconds = setting(10.0, "Longest pause after failed watches.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetsSettings:
+    """Log in to targets."""
+
+    user: Name = setting("rosemaryridge", "Role that the proxy logs in with.")
+    password: str = setting("", "Password of the role.", secret=True)
+    password_file: str = setting("", "File that holds the password instead.")
+    connect_timeout_s: Seconds = setting(2.0, "Time to open a connection.")
+    silent_timeout_s: Seconds = setting(
+        2.0, "Time without an answer after which a connection is suspected."
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupSettings:
+    """Watch database groups and replace a failed primary."""
+
+    poll_period_s: Seconds = setting(0.2, "Time between two status polls.")
+    status_timeout_s: Seconds = setting(0.5, "Time for a status answer.")
+    suspicion_s: Seconds = setting(1.0, "Silence after which a primary is suspected.")
+    jitter: Share = setting(0.2, "Share by which periods vary.")
+    lease_s: Seconds = setting(2.0, "Time that a confirmed primary is trusted.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """Share connections to targets."""
+
+    idle_timeout_s: Seconds = setting(60.0, "Time that an unused connection stays.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """Know which proxies and targets are live or leaving."""
+
+    heartbeat_period_s: Seconds = setting(1.0, "Time between two heartbeats.")
+    silent_timeout_s: Seconds = setting(5.0, "Silence after which a peer is doubted.")
+    vms_period_s: Seconds = setting(2.0, "Time between two reads of the VM list.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainSettings:
+    """Shut down without cutting a request."""
+
+    deadline_s: Seconds = setting(30.0, "Time for open transactions to end.", live=True)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogSettings:
+    """Write log lines."""
+
+    level: LogLevel = setting(LogLevel.INFO, "Least level that is written.", live=True)
+    repeat_limit: Positive = setting(5, "Equal lines written in one period.", live=True)
+    repeat_period_s: Seconds = setting(
+        10.0, "Period after which suppressed lines are counted.", live=True
+    )
+    actions: bool = setting(
+        False, "Whether each request writes its action tree.", live=True
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultSettings:
+    """Break promises on purpose, so that tests can show that they notice."""
+
+    enabled: bool = setting(False, "Whether the switches below are allowed.")
+    acknowledge_early: bool = setting(False, "Acknowledge before a majority holds.")
+    skip_fencing: bool = setting(False, "Promote without fencing.")
+    retry_unknown: bool = setting(False, "Repeat writes whose outcome is unknown.")
+    ignore_token: bool = setting(False, "Route reads without the session's position.")
+    reuse_abandoned: bool = setting(False, "Pool connections with answers outstanding.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProxySettings:
+    """Hold the settings of one proxy process."""
+
+    vm: Name = setting(doc="Name of the VM that the process runs on.")
+    failure_domain: Name = setting(doc="Failure domain of the VM.")
+    platform: PlatformSettings = setting(doc="Call the platform's object API.")
+    region: str = setting("", "Region of the VM.")
+    seed: Count = setting(0, "Seed of all random choices; 0 draws one at the start.")
+    callers: CallersSettings = CallersSettings()
+    peers: PeersSettings = PeersSettings()
+    admin: AdminSettings = AdminSettings()
+    services: ServicesSettings = ServicesSettings()
+    targets: TargetsSettings = TargetsSettings()
+    group: GroupSettings = GroupSettings()
+    pool: PoolSettings = PoolSettings()
+    membership: MembershipSettings = MembershipSettings()
+    drain: DrainSettings = DrainSettings()
+    log: LogSettings = LogSettings()
+    faults: FaultSettings = FaultSettings()
--- a/src/rosemaryridge/exceptions.py
+++ b/src/rosemaryridge/exceptions.py
@@ -24,10 +24,13 @@
 
 
 class SettingsError(RosemaryridgeError):
-    """List every fault found in a settings or service file."""
+    """List every fault found in a settings or service file.
 
-    def __init__(self, faults: tuple[str, ...]):
-        super().__init__("\n".join(faults))
+    `faults` are `rosemaryridge.config.Fault`s, or texts.
+    """
+
+    def __init__(self, faults: tuple[object, ...]):
+        super().__init__("\n".join(map(str, faults)))
         self.faults = faults
 
 
