Pool connections to targets within a share per proxy

Cause: connections to a target are scarce, and one business's flood must not take another's. Change: a table of slots per target grants them by priority and deadline, keeps an active business's guaranteed slots free, and refuses at once what cannot be reached in time. Connections open lazily at a paced rate, are reused, tested after idling, and hold their slot until they are closed. Retries are budgeted per business. Metrics register with their own registry, so that a process may hold more than one.

--- a/src/rosemaryridge/pool/__init__.py
+++ b/src/rosemaryridge/pool/__init__.py
@@ -1,1 +1,21 @@
-"""TODO."""
+"""Limit, queue and reuse connections to targets."""
+
+from rosemaryridge.pool._connections import Check
+from rosemaryridge.pool._connections import Connect
+from rosemaryridge.pool._connections import TargetConnection
+from rosemaryridge.pool._pools import Pools
+from rosemaryridge.pool._pools import base_share
+from rosemaryridge.pool._retry import RetryBudget
+from rosemaryridge.pool._settings import PoolSettings
+from rosemaryridge.pool._target import PoolLease
+
+__all__ = [
+    "Check",
+    "Connect",
+    "PoolLease",
+    "PoolSettings",
+    "Pools",
+    "RetryBudget",
+    "TargetConnection",
+    "base_share",
+]
--- a/src/rosemaryridge/telemetry/_metrics.py
+++ b/src/rosemaryridge/telemetry/_metrics.py
@@ -19,9 +19,8 @@
         )
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
-        counter = aioprometheus.Counter(f"{NAMESPACE}_{name}", doc)
-        self.registry.register(counter)
-        return counter
+        full_name = f"{NAMESPACE}_{name}"
+        return aioprometheus.Counter(full_name, doc, registry=self.registry)
 
     def refuse(self, code: Code, service: str = "") -> None:
         """Count one refusal by its code."""
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,288 @@
+import asyncio
+import dataclasses
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from rosemaryridge import codes
+from rosemaryridge.config import BusinessConfig
+from rosemaryridge.config import Priority
+from rosemaryridge.config import ServiceConfig
+from rosemaryridge.config import TargetConfig
+from rosemaryridge.exceptions import Refusal
+from rosemaryridge.model import Endpoint
+from rosemaryridge.pool import Pools
+from rosemaryridge.pool import PoolSettings
+from rosemaryridge.pool import RetryBudget
+from rosemaryridge.pool._pacer import OpenPacer
+from rosemaryridge.pool._queue import Entry
+from rosemaryridge.pool._slots import Granted
+from rosemaryridge.pool._slots import Refused
+from rosemaryridge.pool._slots import SlotTable
+from rosemaryridge.telemetry import Metrics
+from rosemaryridge.timer import ManualTimer
+
+TARGET = TargetConfig("t1", Endpoint("127.0.0.1", 1), "suva", max_connections=7)
+SERVICE = ServiceConfig(
+    "exchange",
+    1,
+    "exchange",
+    (TARGET,),
+    businesses=(BusinessConfig("claims", 0.5), BusinessConfig("listings", 0.5)),
+)
+CFG = PoolSettings(reserved_connections=3, open_gap_s=0.0)
+
+
+def entry(waiter, business="claims", priority=Priority.NORMAL, deadline=10.0):
+    return Entry(waiter, business, priority, deadline)
+
+
+def table(limit=2):
+    slots = SlotTable(limit, 5.0, random.Random(1))
+    slots.configure(SERVICE.businesses)
+    return slots
+
+
+def waiters(effects, kind):
+    return [effect.waiter for effect in effects if isinstance(effect, kind)]
+
+
+class SlotTableTest(unittest.TestCase):
+    def test_most_urgent_then_earliest_deadline_first(self):
+        slots = table(limit=1)
+        slots.arrive(entry("running"), 0.0)
+        slots.arrive(entry("late", deadline=9.0), 0.0)
+        slots.arrive(entry("early", deadline=8.0), 0.0)
+        slots.arrive(entry("urgent", priority=Priority.CRITICAL), 0.0)
+        order = [waiters(slots.leave("claims", 0.01, 0.1), Granted) for _ in range(3)]
+        self.assertEqual(order, [["urgent"], ["early"], ["late"]])
+
+    def test_flood_leaves_an_active_business_its_slots(self):
+        slots = table(limit=4)
+        slots.arrive(entry("first"), 0.0)
+        slots.leave("claims", 0.01, 0.0)
+        granted = []
+        for n in range(50):
+            effects = slots.arrive(entry(n, "listings"), 1.0)
+            granted += waiters(effects, Granted)
+        self.assertEqual(granted, [0, 1])
+        self.assertEqual(waiters(slots.arrive(entry("claim"), 1.0), Granted), ["claim"])
+
+    def test_idle_share_is_borrowed(self):
+        slots = table(limit=4)
+        granted = []
+        for n in range(10):
+            granted += waiters(slots.arrive(entry(n, "listings"), 0.0), Granted)
+        self.assertEqual(granted, [0, 1, 2, 3])
+
+    def test_full_queue_sheds_the_least_urgent(self):
+        slots = table(limit=1)
+        slots.configure([BusinessConfig("claims", 0.5, queue_limit=1)])
+        slots.arrive(entry("running"), 0.0)
+        slots.arrive(entry("browse", priority=Priority.BACKGROUND), 0.0)
+        effects = slots.arrive(entry("checkout", priority=Priority.CRITICAL), 0.0)
+        self.assertEqual(effects[0].waiter, "browse")
+        self.assertEqual(effects[0].code, codes.limits.SHED)
+        self.assertGreater(effects[0].retry_after_s, 0.0)
+        effects = slots.arrive(entry("second", priority=Priority.BACKGROUND), 0.0)
+        self.assertEqual(effects[0].code, codes.limits.QUEUE_FULL)
+
+    def test_refuses_at_once_what_cannot_be_reached_in_time(self):
+        slots = table(limit=1)
+        slots.hold_s = 1.0
+        for n in range(4):
+            slots.arrive(entry(n, deadline=100.0), 0.0)
+        effects = slots.arrive(entry("late", deadline=2.0), 0.0)
+        self.assertEqual(effects[0].code, codes.limits.DEADLINE_IN_QUEUE)
+
+    def test_expired_requests_are_never_granted(self):
+        slots = table(limit=1)
+        slots.arrive(entry("running"), 0.0)
+        slots.arrive(entry("expired", deadline=1.0), 0.0)
+        slots.arrive(entry("alive", deadline=9.0), 0.0)
+        effects = slots.leave("claims", 0.01, 2.0)
+        self.assertEqual(waiters(effects, Refused), ["expired"])
+        self.assertEqual(waiters(effects, Granted), ["alive"])
+
+    @settings(max_examples=200, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["arrive", "leave", "expire", "resize"]),
+                st.sampled_from(["claims", "listings"]),
+                st.sampled_from(list(Priority)),
+                st.integers(0, 5),
+            ),
+            max_size=80,
+        )
+    )
+    def test_every_request_is_answered_once_within_the_limit(self, steps):
+        slots, answers, entries, running = table(limit=3), {}, {}, []
+        for now, (step, business, priority, number) in enumerate(steps):
+            effects = []
+            if step == "arrive":
+                entries[now] = entry(now, business, priority, now + number)
+                effects = slots.arrive(entries[now], now)
+            elif step == "leave" and running:
+                done = running.pop(number % len(running))
+                effects = slots.leave(entries[done].business, 0.1, now)
+            elif step == "expire" and entries:
+                effects = slots.expire(list(entries.values())[number % len(entries)])
+            elif step == "resize":
+                effects = slots.resize(number, now)
+            for effect in effects:
+                self.assertNotIn(effect.waiter, answers)
+                answers[effect.waiter] = effect
+            granted = waiters(effects, Granted)
+            running += granted
+            self.assertEqual(slots.busy, len(running))
+            if granted:
+                self.assertLessEqual(slots.busy, slots.limit)
+        self.assertEqual(len(answers) + slots.waiting, len(entries))
+
+
+class OpenPacerTest(unittest.TestCase):
+    def test_spreads_openings_and_backs_off(self):
+        pacer = OpenPacer(0.1, 0.05, 2.0, random.Random(1))
+        waits = [pacer.reserve(0.0) for _ in range(10)]
+        self.assertEqual(waits[0], 0.0)
+        self.assertGreater(waits[-1], 0.4)
+        pacer = OpenPacer(0.0, 0.05, 2.0, random.Random(1))
+        for _ in range(10):
+            pacer.failed(0.0)
+        self.assertGreaterEqual(pacer.blocked_s(0.0), 1.0)
+        self.assertLessEqual(pacer.blocked_s(0.0), 2.0)
+        pacer.succeeded()
+        self.assertEqual(pacer.blocked_s(0.0), 0.0)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_retries_stay_a_share_of_successes(self):
+        budget = RetryBudget()
+        budget.adopt(SERVICE)
+        allowed = 0
+        for _ in range(1000):
+            budget.on_success("claims")
+            allowed += budget.allow("claims")
+            allowed += budget.allow("claims")
+        self.assertLessEqual(allowed, 102)
+        self.assertGreaterEqual(allowed, 98)
+
+
+@dataclasses.dataclass
+class FakeConnection:
+    closed: bool = False
+
+    def is_closed(self):
+        return self.closed
+
+    async def close(self):
+        self.closed = True
+
+    def terminate(self):
+        self.closed = True
+
+
+class PoolsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.timer = ManualTimer()
+        self.opened = []
+        self.healthy = True
+        self.fail = False
+        self.pools = Pools(
+            CFG, self.timer, random.Random(1), self.connect, Metrics(), self.check
+        )
+        self.pools.adopt(SERVICE, 2)
+
+    async def connect(self, target, service):
+        await asyncio.sleep(0)
+        if self.fail:
+            raise ConnectionRefusedError
+        self.opened.append(FakeConnection())
+        return self.opened[-1]
+
+    async def check(self, connection, timeout_s):
+        return self.healthy
+
+    def acquire(self, business="claims", deadline=10.0):
+        return self.pools.acquire("exchange", "t1", business, Priority.NORMAL, deadline)
+
+    async def settle(self):
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+    async def test_opens_lazily_and_reuses(self):
+        lease = await self.acquire()
+        lease.release()
+        lease.release()
+        again = await self.acquire()
+        self.assertEqual(len(self.opened), 1)
+        self.assertIs(again.connection, self.opened[0])
+
+    async def test_waits_for_the_share_and_discard_closes(self):
+        leases = [await self.acquire() for _ in range(2)]
+        waiting = asyncio.create_task(self.acquire())
+        await self.settle()
+        self.assertFalse(waiting.done())
+        leases[0].discard()
+        lease = await waiting
+        self.assertTrue(self.opened[0].closed)
+        self.assertIs(lease.connection, self.opened[2])
+        self.assertEqual(self.pools.pool("exchange", "t1").open_connections, 2)
+
+    async def test_deadline_in_queue_refuses(self):
+        for _ in range(2):
+            await self.acquire()
+        waiting = asyncio.create_task(self.acquire(deadline=1.0))
+        await self.settle()
+        self.timer.advance(1.5)
+        with self.assertRaises(Refusal) as caught:
+            await waiting
+        self.assertEqual(caught.exception.code, codes.limits.DEADLINE_IN_QUEUE)
+        self.assertIsNotNone(caught.exception.retry_after_s)
+
+    async def test_silent_idle_connection_is_replaced(self):
+        (await self.acquire()).release()
+        self.timer.advance(5.0)
+        self.healthy = False
+        lease = await self.acquire()
+        self.assertIs(lease.connection, self.opened[1])
+        self.assertTrue(self.opened[0].closed)
+
+    async def test_failed_opening_refuses_and_gives_the_slot_back(self):
+        self.fail = True
+        with self.assertRaises(Refusal) as caught:
+            await self.acquire()
+        self.assertEqual(caught.exception.code, codes.limits.NO_TARGET)
+        self.assertEqual(self.pools.pool("exchange", "t1").open_connections, 0)
+        with self.assertRaises(Refusal):
+            await self.acquire()
+        self.fail = False
+        self.timer.advance(3.0)
+        await self.acquire()
+
+    async def test_cancelled_waiter_leaves_no_slot_behind(self):
+        leases = [await self.acquire() for _ in range(2)]
+        waiting = asyncio.create_task(self.acquire())
+        await self.settle()
+        leases[0].release()
+        waiting.cancel()
+        await self.settle()
+        leases[1].release()
+        self.assertEqual(self.pools.pool("exchange", "t1").slots.busy, 0)
+
+    async def test_smaller_share_closes_idle_connections(self):
+        leases = [await self.acquire() for _ in range(2)]
+        for lease in leases:
+            lease.release()
+        self.pools.resize("exchange", "t1", 1)
+        await self.settle()
+        self.assertEqual(self.pools.pool("exchange", "t1").open_connections, 1)
+        self.assertEqual([conn.closed for conn in self.opened].count(True), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
