Choose targets by applied position, stated age, load and health

Cause: reads should go to replicas wherever the session's position and the stated age of data allow it, and never to a leaving or failing target. Change: the router filters by position, term, age and leaving; the age is bounded by a thinned history of the primary's positions.

--- a/src/rosemaryridge/routing/__init__.py
+++ b/src/rosemaryridge/routing/__init__.py
@@ -1,1 +1,9 @@
-"""TODO."""
+"""Choose the target for each request."""
+
+from rosemaryridge.routing._health import TargetHealth
+from rosemaryridge.routing._policies import policy
+from rosemaryridge.routing._policies import policy_names
+from rosemaryridge.routing._router import Router
+from rosemaryridge.routing._view import Need
+
+__all__ = ["Need", "Router", "TargetHealth", "policy", "policy_names"]
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,162 @@
+import dataclasses
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rosemaryridge import codes
+from rosemaryridge.config import ServiceConfig
+from rosemaryridge.config import TargetConfig
+from rosemaryridge.exceptions import Refusal
+from rosemaryridge.model import Endpoint
+from rosemaryridge.model import Position
+from rosemaryridge.model import Role
+from rosemaryridge.model import TargetStatus
+from rosemaryridge.routing import Need
+from rosemaryridge.routing import Router
+from rosemaryridge.routing import policy_names
+from rosemaryridge.routing._freshness import PrimaryHistory
+from rosemaryridge.telemetry import Metrics
+from rosemaryridge.timer import ManualTimer
+
+SERVICE = ServiceConfig(
+    "vialbook",
+    1,
+    "vialbook",
+    tuple(
+        TargetConfig(name, Endpoint("127.0.0.1", 1), domain)
+        for name, domain in (("p", "khomas-a"), ("r1", "oshana-a"), ("r2", "erongo-a"))
+    ),
+)
+
+
+@dataclasses.dataclass
+class Seen:
+    status: TargetStatus
+    seen_at: float
+
+
+@dataclasses.dataclass
+class View:
+    term: int
+    primary: str | None
+    statuses: dict
+
+
+def status(name, lsn, term=2, leaving=False, role=Role.REPLICA):
+    position = Position(term, lsn)
+    return TargetStatus(name, role, term, term, position, position, leaving=leaving)
+
+
+def view(p=100, r1=100, r2=100, seen_at=0.0):
+    primary = status("p", p, role=Role.PRIMARY)
+    found = {"p": primary, "r1": status("r1", r1), "r2": status("r2", r2)}
+    return View(2, "p", {name: Seen(one, seen_at) for name, one in found.items()})
+
+
+class RouterTest(unittest.TestCase):
+    def setUp(self):
+        self.timer = ManualTimer()
+        self.left = set()
+        self.router = Router(
+            self.timer, random.Random(1), Metrics(), self.left.__contains__
+        )
+
+    def chosen(self, seen, need, now=0.1, times=60):
+        return {self.router.choose(SERVICE, seen, need, now) for _ in range(times)}
+
+    def test_writes_go_to_the_primary(self):
+        self.assertEqual(self.chosen(view(), Need(write=True)), {"p"})
+        lost = view()
+        lost.primary = None
+        with self.assertRaises(Refusal) as caught:
+            self.router.choose(SERVICE, lost, Need(write=True), 0.0)
+        self.assertEqual(caught.exception.code, codes.group.NO_PRIMARY)
+        self.assertIsNotNone(caught.exception.retry_after_s)
+
+    def test_reads_go_to_replicas_that_cover_the_position(self):
+        need = Need(position=Position(2, 90))
+        self.assertEqual(self.chosen(view(), need), {"r1", "r2"})
+        self.assertEqual(self.chosen(view(r1=80), need), {"r2"})
+        self.assertEqual(self.chosen(view(r1=80, r2=80), need), {"p"})
+
+    def test_replica_of_an_older_term_serves_nothing(self):
+        seen = view()
+        seen.statuses["r1"] = Seen(status("r1", 500, term=1), 0.0)
+        self.assertEqual(self.chosen(seen, Need()), {"r2"})
+
+    def test_stated_age_binds(self):
+        for step in range(20):
+            seen = view(p=100 + step, r1=100, r2=100 + step, seen_at=float(step))
+            self.router.choose(SERVICE, seen, Need(), float(step))
+        self.assertEqual(self.chosen(seen, Need(max_age_s=5.0), 19.5), {"r2"})
+        self.assertEqual(self.chosen(seen, Need(max_age_s=30.0), 19.5), {"r1", "r2"})
+        self.assertEqual(self.chosen(seen, Need(max_age_s=0.1), 19.5), {"p"})
+
+    def test_leaving_targets_get_no_reads(self):
+        seen = view()
+        seen.statuses["r1"] = Seen(status("r1", 100, leaving=True), 0.0)
+        self.assertEqual(self.chosen(seen, Need()), {"r2"})
+        self.left.add("r2")
+        self.assertEqual(self.chosen(seen, Need()), {"p"})
+
+    def test_failing_target_is_avoided_then_tested_by_one_request(self):
+        for _ in range(5):
+            self.router.started("r1")
+            self.router.finished("r1", 0.01, ok=False)
+        self.assertEqual(self.chosen(view(), Need()), {"r2"})
+        self.timer.advance(1.0)
+        self.assertIn("r1", self.chosen(view(), Need(), 1.0))
+        self.router.started("r1")
+        self.assertEqual(self.chosen(view(), Need(), 1.0), {"r2"})
+        self.router.finished("r1", 0.01, ok=True)
+        self.assertIn("r1", self.chosen(view(), Need(), 1.0))
+
+    def test_target_that_only_fails_attracts_nothing(self):
+        for _ in range(3):
+            self.router.finished("r1", 0.0, ok=False)
+        chosen = [self.router.choose(SERVICE, view(), Need(), 0.1) for _ in range(100)]
+        self.assertLess(chosen.count("r1"), 10)
+
+    def test_excluded_targets_are_not_tried_again(self):
+        everything = frozenset({"p", "r1", "r2"})
+        with self.assertRaises(Refusal) as caught:
+            self.router.choose(SERVICE, view(), Need(exclude=everything), 0.0)
+        self.assertEqual(caught.exception.code, codes.limits.NO_TARGET)
+
+    def test_slow_target_gets_less_under_every_policy_that_weighs_latency(self):
+        for name in ("power_of_two", "weighted_random"):
+            router = Router(self.timer, random.Random(1), Metrics(), policy=name)
+            for target, latency_s in (("r1", 0.5), ("r2", 0.005)) * 40:
+                router.started(target)
+                router.finished(target, latency_s, ok=True)
+            chosen = [router.choose(SERVICE, view(), Need(), 0.1) for _ in range(200)]
+            self.assertLess(chosen.count("r1"), 20, name)
+
+    def test_every_policy_chooses_an_eligible_target(self):
+        for name in policy_names():
+            router = Router(self.timer, random.Random(1), Metrics(), policy=name)
+            self.assertEqual(
+                router.choose(SERVICE, view(r1=0), Need(position=Position(2, 1)), 0.1),
+                "r2",
+            )
+
+
+class PrimaryHistoryTest(unittest.TestCase):
+    @given(st.lists(st.tuples(st.integers(0, 3), st.floats(0.001, 2.0)), max_size=400))
+    def test_age_is_never_understated(self, steps):
+        history, truth, now, lsn = PrimaryHistory(), [], 0.0, 0
+        for grown, gap_s in steps:
+            now += gap_s
+            lsn += grown
+            history.observe(Position(1, lsn), now)
+            truth.append((now, lsn))
+        for applied in range(0, lsn + 1, max(1, lsn // 7)):
+            covered = [seen for seen, at in truth if at <= applied]
+            exact = now - covered[-1] if covered else float("inf")
+            self.assertGreaterEqual(history.age_s(Position(1, applied), now), exact)
+
+
+if __name__ == "__main__":
+    unittest.main()
