Carry peers' messages over long gRPC streams

Cause: proxies share views, leases and configuration; a unary call each would cost too much processor time at the size to design for. Change: one bidirectional stream a pair carries numbered batches, flushed every 20 ms or at once for a question. A bounded queue drops its oldest messages; the jump in the numbers makes both ends resync. Silent streams are closed, dialing backs off with jitter, streams opened on demand close when unused.

--- a/src/rosemaryridge/peer/__init__.py
+++ b/src/rosemaryridge/peer/__init__.py
@@ -2,5 +2,8 @@
 
 from rosemaryridge.peer._bus import PeerBus
 from rosemaryridge.peer._bus import PeerMessage
+from rosemaryridge.peer._grpc_bus import GrpcPeerBus
+from rosemaryridge.peer._identity import PeerIdentity
+from rosemaryridge.peer._settings import BusSettings
 
-__all__ = ["PeerBus", "PeerMessage"]
+__all__ = ["BusSettings", "GrpcPeerBus", "PeerBus", "PeerIdentity", "PeerMessage"]
