Stand in for a target with asynchronous replication

The proxy needs groups of targets with terms, log positions, fencing and promotion, on a machine without PostgreSQL. The stand-in speaks its protocol through pg-mimic over sqlite, and replicates committed statements.

--- /dev/null
+++ b/src/rosemaryridge_testbed/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Start the stand-ins, the demonstration and the measurements."""
--- /dev/null
+++ b/src/rosemaryridge_testbed/target/_knobs.py
@@ -0,0 +1,43 @@
+"""Hold what the admin port can change in a running target."""
+
+import asyncio
+
+import msgspec
+
+
+class Knobs(msgspec.Struct, kw_only=True):
+    """Set how slow, small and reachable a target is; times in milliseconds.
+
+    `idle_in_transaction_ms` ends a connection that leaves a transaction open.
+    """
+
+    receive_lag_ms: float = 0.0
+    apply_lag_ms: float = 0.0
+    connect_ms: float = 0.0
+    statement_ms: float = 0.0
+    idle_in_transaction_ms: float = 10_000.0
+    slots: int = 3
+    max_connections: int = 45
+    leaving: bool = False
+    paused: bool = False
+
+
+class Gate:
+    """Bound how many statements execute at a time, by a knob that may change."""
+
+    def __init__(self, knobs: Knobs):
+        self._knobs = knobs
+        self._running = 0
+        self._changed = asyncio.Condition()
+        self.peak = 0
+
+    async def __aenter__(self) -> None:
+        async with self._changed:
+            await self._changed.wait_for(lambda: self._running < self._knobs.slots)
+            self._running += 1
+            self.peak = max(self.peak, self._running)
+
+    async def __aexit__(self, *_exc: object) -> None:
+        async with self._changed:
+            self._running -= 1
+            self._changed.notify()
--- /dev/null
+++ b/src/rosemaryridge_testbed/target/_sql.py
@@ -0,0 +1,306 @@
+"""Turn PostgreSQL's SQL into sqlite's and infer the types on the wire."""
+
+import dataclasses
+import enum
+import re
+
+import sqlglot
+from pg_mimic import PgError
+from pg_mimic import ResultColumn
+from pg_mimic import types as oids
+from sqlglot import exp
+from sqlglot.optimizer.annotate_types import annotate_types
+from sqlglot.optimizer.qualify import qualify
+
+Schema = dict[str, dict[str, str]]
+
+# sqlglot takes `$1,$` for the start of a quoted text, so parameters are renamed.
+_PARAM = re.compile(r"('(?:[^']|'')*'|\"[^\"]*\"|--[^\n]*|/\*.*?\*/)|\$(\d+)", re.S)
+_STATEMENT = re.compile(r"(?:'(?:[^']|'')*'|\"[^\"]*\"|--[^\n]*|/\*.*?\*/|[^;])+", re.S)
+_COMMENT = re.compile(r"\A(?:\s+|--[^\n]*(?:\n|\Z)|/\*.*?\*/)+", re.S)
+_VERB = re.compile(
+    r"\s*SELECT\s+.*\bFROM\s+rosemaryridge\.(\w+)\s*\((.*?)\)", re.I | re.S
+)
+
+_OIDS = {
+    exp.DataType.Type.BOOLEAN: oids.BOOL,
+    exp.DataType.Type.BIGINT: oids.INT8,
+    exp.DataType.Type.BIGSERIAL: oids.INT8,
+    exp.DataType.Type.INT: oids.INT4,
+    exp.DataType.Type.SERIAL: oids.INT4,
+    exp.DataType.Type.SMALLINT: oids.INT2,
+    exp.DataType.Type.FLOAT: oids.FLOAT4,
+    exp.DataType.Type.DOUBLE: oids.FLOAT8,
+    exp.DataType.Type.DECIMAL: oids.NUMERIC,
+    exp.DataType.Type.TIMESTAMP: oids.TIMESTAMP,
+    exp.DataType.Type.TIMESTAMPTZ: oids.TIMESTAMPTZ,
+    exp.DataType.Type.DATE: oids.DATE,
+    exp.DataType.Type.VARBINARY: oids.BYTEA,
+    exp.DataType.Type.UUID: oids.UUID,
+    exp.DataType.Type.JSON: oids.JSON,
+    exp.DataType.Type.JSONB: oids.JSONB,
+    exp.DataType.Type.VARCHAR: oids.VARCHAR,
+}
+
+
+class Kind(enum.Enum):
+    """Name what a statement does to the connection or the data."""
+
+    BEGIN = "begin"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SAVEPOINT = "savepoint"
+    ROLLBACK_TO = "rollback to"
+    RELEASE = "release"
+    SET = "set"
+    SHOW = "show"
+    RESET = "reset"
+    VERB = "verb"
+    READ = "read"
+    WRITE = "write"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parsed:
+    """Hold a statement ready to run; `args` depend on its kind."""
+
+    kind: Kind
+    tag: str
+    text: str = ""
+    args: tuple[str, ...] = ()
+    params: tuple[int, ...] = ()
+    columns: tuple[ResultColumn, ...] | None = None
+    sleeps: bool = False
+
+
+_NAME = r'"?([\w.]+)"?'
+_CONTROL = (
+    (Kind.BEGIN, "BEGIN", r"BEGIN\b"),
+    (Kind.BEGIN, "START TRANSACTION", r"START\s+TRANSACTION\b"),
+    (Kind.COMMIT, "COMMIT", r"(?:COMMIT|END)\b"),
+    (Kind.ROLLBACK_TO, "ROLLBACK", rf"ROLLBACK\s+TO\s+(?:SAVEPOINT\s+)?{_NAME}"),
+    (Kind.ROLLBACK, "ROLLBACK", r"(?:ROLLBACK|ABORT)\b"),
+    (Kind.SAVEPOINT, "SAVEPOINT", rf"SAVEPOINT\s+{_NAME}"),
+    (Kind.RELEASE, "RELEASE", rf"RELEASE\s+(?:SAVEPOINT\s+)?{_NAME}"),
+    (Kind.SET, "SET", rf"SET\s+(?:LOCAL\s+|SESSION\s+)?{_NAME}\s*(?:=|\bTO\b)\s*(.*)"),
+    (Kind.SET, "SET", r"SET\s+(?:SESSION\s+CHARACTERISTICS|TRANSACTION)\b"),
+    (Kind.SHOW, "SHOW", rf"SHOW\s+{_NAME}"),
+    (Kind.RESET, "DISCARD ALL", r"DISCARD\s+ALL"),
+    (Kind.RESET, "RESET", r"RESET\s+(?:ALL|\w)"),
+    (Kind.RESET, "CLOSE CURSOR ALL", r"CLOSE\s+ALL"),
+    (Kind.RESET, "UNLISTEN", r"UNLISTEN\b"),
+    (Kind.RESET, "DEALLOCATE", r"DEALLOCATE\b"),
+)
+
+
+def strip_comments(sql: str) -> str:
+    """Drop leading comments and spaces."""
+    return _COMMENT.sub("", sql)
+
+
+def split_statements(sql: str) -> list[str]:
+    """Split at semicolons outside of quotes and comments."""
+    return [text for text in _STATEMENT.findall(sql) if strip_comments(text).strip()]
+
+
+def parse_control(sql: str) -> Parsed | None:
+    """Recognize a statement that concerns the connection or the group."""
+    body = strip_comments(sql).rstrip().rstrip(";")
+    for kind, tag, pattern in _CONTROL:
+        found = re.match(pattern, body, re.I | re.S)
+        if found:
+            return Parsed(kind, tag, args=tuple(found.groups()))
+    found = _VERB.match(body)
+    if found:
+        args = tuple(part.strip() for part in found[2].split(",") if part.strip())
+        params = (oids.INT8, oids.TEXT)[: len(re.findall(r"\$\d", found[2]))]
+        return Parsed(
+            Kind.VERB, "SELECT", args=(found[1].lower(), *args), params=params
+        )
+    return None
+
+
+def parse(sql: str, schema: Schema) -> Parsed:
+    """Translate one statement; raise PgError for a syntax error."""
+    renamed = _PARAM.sub(lambda m: m[1] or f":p{m[2]}", strip_comments(sql))
+    try:
+        tree = sqlglot.parse_one(renamed, read="postgres")
+    except sqlglot.errors.SqlglotError as exc:
+        raise PgError("42601", f"syntax error: {str(exc).splitlines()[0]}") from exc
+    query = tree.find(exp.Query) if isinstance(tree, exp.Query) else None
+    writing = query is None or _contains_write(tree)
+    columns = _columns(tree, schema)
+    params = _param_oids(tree, schema)
+    sleeps = "pg_sleep" in sql.lower()
+    keyword = re.match(r"\w+", renamed)
+    tag = _tag(tree, keyword[0].upper() if keyword else "")
+    text = _rewrite(tree).sql("postgres")
+    kind = Kind.WRITE if writing else Kind.READ
+    return Parsed(kind, tag, text, (), params, columns, sleeps)
+
+
+def _contains_write(tree: exp.Expression) -> bool:
+    return tree.find(exp.Insert, exp.Update, exp.Delete) is not None
+
+
+def _tag(tree: exp.Expression, keyword: str) -> str:
+    if isinstance(tree, exp.Create | exp.Drop | exp.Alter):
+        return f"{keyword} {tree.args.get('kind') or 'TABLE'}"
+    if isinstance(tree, exp.TruncateTable):
+        return "TRUNCATE TABLE"
+    return "SELECT" if keyword == "WITH" else keyword
+
+
+def oid_of(kind: exp.DataType | None) -> int:
+    """Return the type's number on the wire; text for what is not known."""
+    if kind is None:
+        return oids.TEXT
+    if kind.this == exp.DataType.Type.ARRAY:
+        return oids.TEXT
+    return _OIDS.get(kind.this, oids.TEXT)
+
+
+def _column_oid(schema: Schema, table: str, column: str) -> int:
+    kind = schema.get(table.lower(), {}).get(column.lower())
+    return oid_of(exp.DataType.build(kind, dialect="postgres")) if kind else oids.TEXT
+
+
+def _columns(tree: exp.Expression, schema: Schema) -> tuple[ResultColumn, ...] | None:
+    if isinstance(tree, exp.Query):
+        return _query_columns(tree, schema)
+    returning = tree.args.get("returning")
+    if returning is None:
+        return None
+    table = tree.find(exp.Table).name
+    columns: list[ResultColumn] = []
+    for item in returning.expressions:
+        if isinstance(item, exp.Star):
+            names = schema.get(table.lower(), {})
+        else:
+            names = {item.alias_or_name or "?column?": ""}
+        for name in names:
+            column = item.this.name if isinstance(item, exp.Alias) else name
+            columns.append(ResultColumn(name, _column_oid(schema, table, column)))
+    return tuple(columns)
+
+
+def _query_columns(tree: exp.Query, schema: Schema) -> tuple[ResultColumn, ...]:
+    try:
+        typed = qualify(
+            tree.copy(),
+            schema=schema,
+            dialect="postgres",
+            validate_qualify_columns=False,
+            quote_identifiers=False,
+        )
+        typed = annotate_types(typed, schema=schema, dialect="postgres")
+    except sqlglot.errors.SqlglotError:
+        typed = tree
+    given = [select.output_name for select in tree.selects]
+    starred = any(select.is_star for select in tree.selects)
+    columns = []
+    for index, select in enumerate(typed.selects):
+        name = select.alias_or_name if starred else given[index]
+        name = name or _function_name(tree.selects[index])
+        columns.append(ResultColumn(name, oid_of(select.type)))
+    return tuple(columns)
+
+
+def _function_name(select: exp.Expression) -> str:
+    if isinstance(select, exp.Anonymous):
+        return select.name.lower()
+    return select.sql_name().lower() if isinstance(select, exp.Func) else "?column?"
+
+
+def _param_oids(tree: exp.Expression, schema: Schema) -> tuple[int, ...]:
+    found: dict[int, int] = {}
+    for node in tree.find_all(exp.Placeholder):
+        index = int(str(node.this)[1:])
+        oid = _param_oid(node, tree, schema)
+        if found.get(index, oids.TEXT) == oids.TEXT:
+            found[index] = oid
+    return tuple(found.get(i, oids.TEXT) for i in range(1, max(found, default=0) + 1))
+
+
+def _param_oid(node: exp.Placeholder, tree: exp.Expression, schema: Schema) -> int:
+    parent = node.parent
+    if isinstance(parent, exp.Cast):
+        return oid_of(parent.to)
+    if isinstance(parent, exp.Limit | exp.Offset):
+        return oids.INT8
+    if isinstance(parent, exp.Anonymous) and parent.name.lower() == "pg_sleep":
+        return oids.FLOAT8
+    insert = node.find_ancestor(exp.Insert)
+    if isinstance(parent, exp.Tuple) and insert is not None:
+        return _inserted_oid(parent.expressions.index(node), insert, schema)
+    tables = [table.name for table in tree.find_all(exp.Table)]
+    siblings = parent.find_all(exp.Column) if parent is not None else ()
+    for column in siblings:
+        for table in tables:
+            if column.name.lower() in schema.get(table.lower(), {}):
+                return _column_oid(schema, table, column.name)
+    numeric = parent is not None and isinstance(parent, exp.Binary)
+    if numeric and any(not lit.is_string for lit in parent.find_all(exp.Literal)):
+        return oids.INT8
+    if isinstance(parent, exp.LT | exp.LTE | exp.GT | exp.GTE):
+        return oids.INT8
+    return oids.TEXT
+
+
+def _inserted_oid(index: int, insert: exp.Insert, schema: Schema) -> int:
+    target = insert.this
+    table = target.find(exp.Table).name
+    if isinstance(target, exp.Schema):
+        names = [column.name for column in target.expressions]
+    else:
+        names = list(schema.get(table.lower(), {}))
+    return _column_oid(schema, table, names[index]) if index < len(names) else oids.TEXT
+
+
+def _rewrite(tree: exp.Expression) -> exp.Expression:
+    for query in tree.find_all(exp.Select):
+        query.set("locks", None)
+    return tree.transform(_rewrite_node)
+
+
+def _rewrite_node(node: exp.Expression) -> exp.Expression:
+    if isinstance(node, exp.Placeholder):
+        return exp.Var(this=f":{node.this}")
+    if isinstance(node, exp.CurrentTimestamp):
+        return exp.Paren(this=exp.Anonymous(this="rr_now"))
+    if isinstance(node, exp.TruncateTable):
+        return exp.Delete(this=node.expressions[0])
+    if isinstance(node, exp.ILike):
+        return exp.Like(this=node.this, expression=node.expression)
+    if isinstance(node, exp.Table) and isinstance(node.this, exp.Func):
+        return _rewrite_series(node)
+    if isinstance(node, exp.ColumnDef):
+        return _rewrite_column(node)
+    return node
+
+
+def _rewrite_series(node: exp.Table) -> exp.Expression:
+    start, end = node.this.args.get("start"), node.this.args.get("end")
+    if start is None or end is None:
+        return node
+    name = node.alias or "generate_series"
+    text = (
+        f"(WITH RECURSIVE g(n) AS (SELECT {start.sql()} UNION ALL"
+        f" SELECT n + 1 FROM g WHERE n < {end.sql()}) SELECT n AS {name} FROM g) {name}"
+    )
+    return exp.Var(this=text)
+
+
+def _rewrite_column(node: exp.ColumnDef) -> exp.ColumnDef:
+    kind = node.args.get("kind")
+    serial = kind is not None and "SERIAL" in kind.this.value.upper()
+    identity = [
+        item
+        for item in node.constraints
+        if isinstance(item.kind, exp.GeneratedAsIdentityColumnConstraint)
+    ]
+    if serial or identity:
+        node.set("kind", exp.Var(this="INTEGER"))
+        kept = [item for item in node.constraints if item not in identity]
+        node.set("constraints", kept)
+    return node
