--- a/src/rosemaryridge/config/__init__.py
+++ b/src/rosemaryridge/config/__init__.py
@@ -17,7 +17,6 @@
 from rosemaryridge.config._settings import DrainSettings
 from rosemaryridge.config._settings import FaultSettings
 from rosemaryridge.config._settings import GroupSettings
-from rosemaryridge.config._settings import LogLevel
 from rosemaryridge.config._settings import LogSettings
 from rosemaryridge.config._settings import MembershipSettings
 from rosemaryridge.config._settings import PeersSettings
@@ -36,7 +35,6 @@
     "Fault",
     "FaultSettings",
     "GroupSettings",
-    "LogLevel",
     "LogSettings",
     "MembershipSettings",
     "PeersSettings",
--- a/src/rosemaryridge/config/_settings.py
+++ b/src/rosemaryridge/config/_settings.py
@@ -1,7 +1,6 @@
 """Define the settings of one proxy process, a data class for each section."""
 
 import dataclasses
-import enum
 
 from rosemaryridge.config._fields import Count
 from rosemaryridge.config._fields import Name
@@ -10,19 +9,11 @@
 from rosemaryridge.config._fields import Share
 from rosemaryridge.config._fields import setting
 from rosemaryridge.model import Endpoint
+from rosemaryridge.telemetry import LogLevel
 
 _KIB = 1024
 
 
-class LogLevel(enum.IntEnum):
-    """Order log lines by weight."""
-
-    DEBUG = 10
-    INFO = 20
-    WARNING = 30
-    ERROR = 40
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallersSettings:
     """Serve callers."""
--- a/src/rosemaryridge/telemetry/_metrics.py
+++ b/src/rosemaryridge/telemetry/_metrics.py
@@ -1,31 +1,78 @@
 """Count and time what the proxy does."""
 
 import aioprometheus
+from aioprometheus.collectors import Collector
 
 from rosemaryridge.codes import Code
+from rosemaryridge.telemetry import _specs
+from rosemaryridge.telemetry._specs import MetricKind
+from rosemaryridge.telemetry._specs import MetricSpec
 
-NAMESPACE = "rosemaryridge"
+_COLLECTORS = {
+    MetricKind.COUNTER: aioprometheus.Counter,
+    MetricKind.GAUGE: aioprometheus.Gauge,
+}
+_TEXT_FORMAT = ("text/plain",)
 
 
 class Metrics:
-    """Hold every counter, gauge and histogram of one process."""
+    """Hold every counter, gauge and histogram of one process.
+
+    Counts and gauges are kept in a plain map and handed to the registry when it
+    is rendered, since they change on the path of every statement.
+    """
 
     def __init__(self) -> None:
         self.registry = aioprometheus.Registry()
-        self.refusals = self._counter("refusals_total", "Count refusals by code.")
-        self.retries = self._counter("retries_total", "Count retries by reason.")
-        self.statements = self._counter(
-            "statements_total", "Count statements by class, target role and outcome."
-        )
+        self._values: dict[tuple[MetricSpec, tuple[str, ...]], float] = {}
+        self._collectors: dict[MetricSpec, Collector] = {}
+
+    def inc(self, spec: MetricSpec, *labels: str, by: float = 1) -> None:
+        """Add to a counter or gauge."""
+        key = (spec, labels)
+        self._values[key] = self._values.get(key, 0) + by
+
+    def set(self, spec: MetricSpec, value: float, *labels: str) -> None:
+        """Set a gauge."""
+        self._values[(spec, labels)] = value
+
+    def observe(self, spec: MetricSpec, value_s: float, *labels: str) -> None:
+        """Add one observation in seconds to a histogram."""
+        named = dict(zip(spec.labels, labels, strict=True))
+        self._collector(spec).observe(named, value_s)
 
-    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
-        full_name = f"{NAMESPACE}_{name}"
-        return aioprometheus.Counter(full_name, doc, registry=self.registry)
+    def value(self, spec: MetricSpec, *labels: str) -> float:
+        """Return the value of a counter or gauge; 0 where it was never touched."""
+        return self._values.get((spec, labels), 0)
 
     def refuse(self, code: Code, service: str = "") -> None:
         """Count one refusal by its code."""
-        self.refusals.inc({"code": code.name, "service": service})
+        self.inc(_specs.REFUSALS, code.name, service)
 
-    def retry(self, reason: str, service: str = "") -> None:
+    def retry(self, reason: Code | str, service: str = "") -> None:
         """Count one retry by its reason."""
-        self.retries.inc({"reason": reason, "service": service})
+        name = reason.name if isinstance(reason, Code) else reason
+        self.inc(_specs.RETRIES, name, service)
+
+    def render(self) -> bytes:
+        """Return the page that Prometheus reads."""
+        for (spec, labels), value in self._values.items():
+            named = dict(zip(spec.labels, labels, strict=True))
+            self._collector(spec).set(named, value)
+        page, _ = aioprometheus.render(self.registry, _TEXT_FORMAT)
+        return page
+
+    def _collector(self, spec: MetricSpec) -> Collector:
+        collector = self._collectors.get(spec)
+        if collector is None:
+            collector = self._collectors[spec] = self._create(spec)
+        return collector
+
+    def _create(self, spec: MetricSpec) -> Collector:
+        if spec.kind is MetricKind.HISTOGRAM:
+            buckets = (*spec.buckets, float("inf"))
+            return aioprometheus.Histogram(
+                spec.name, spec.doc, registry=self.registry, buckets=buckets
+            )
+        kind = _COLLECTORS[spec.kind]
+        return kind(spec.name, spec.doc, registry=self.registry)
--- /dev/null
+++ b/src/rosemaryridge/telemetry/_specs.py
@@ -0,0 +1,118 @@
+"""Register what each metric is called, means and is labelled with."""
+
+import dataclasses
+import enum
+
+NAMESPACE = "rosemaryridge"
+STAGE_BUCKETS_S = (
+    0.0005,
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+
+
+class MetricKind(enum.Enum):
+    """Name the kinds of metrics."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MetricSpec:
+    """Describe one metric; `labels` are given by position when it is used."""
+
+    kind: MetricKind
+    name: str
+    doc: str
+    labels: tuple[str, ...]
+    buckets: tuple[float, ...] = ()
+
+
+_SPECS: dict[str, MetricSpec] = {}
+
+
+def counter(name: str, doc: str, *labels: str) -> MetricSpec:
+    """Register a counter; its name ends in `_total`."""
+    if not name.endswith("_total"):
+        raise ValueError(f"counter {name!r} does not end in _total")
+    return _register(MetricSpec(MetricKind.COUNTER, name, doc, labels))
+
+
+def gauge(name: str, doc: str, *labels: str) -> MetricSpec:
+    """Register a gauge; its name ends in the unit where there is one."""
+    return _register(MetricSpec(MetricKind.GAUGE, name, doc, labels))
+
+
+def histogram(
+    name: str, doc: str, *labels: str, buckets: tuple[float, ...] = STAGE_BUCKETS_S
+) -> MetricSpec:
+    """Register a histogram of seconds; its name ends in `_seconds`."""
+    if not name.endswith("_seconds"):
+        raise ValueError(f"histogram {name!r} does not end in _seconds")
+    return _register(MetricSpec(MetricKind.HISTOGRAM, name, doc, labels, buckets))
+
+
+def all_metrics() -> tuple[MetricSpec, ...]:
+    """Return every registered metric, by name."""
+    return tuple(_SPECS[name] for name in sorted(_SPECS))
+
+
+def _register(spec: MetricSpec) -> MetricSpec:
+    full_name = f"{NAMESPACE}_{spec.name}"
+    if full_name in _SPECS:
+        raise ValueError(f"metric {full_name!r} is defined twice")
+    spec = dataclasses.replace(spec, name=full_name)
+    _SPECS[full_name] = spec
+    return spec
+
+
+REFUSALS = counter("refusals_total", "Count refusals by code.", "code", "service")
+RETRIES = counter("retries_total", "Count retries by reason.", "reason", "service")
+STATEMENTS = counter(
+    "statements_total",
+    "Count statements by class, the role that ran them and outcome.",
+    "class",
+    "role",
+    "outcome",
+)
+STAGE_SECONDS = histogram(
+    "stage_seconds", "Time of one stage of a request.", "stage", "service"
+)
+STORE_CALLS = counter(
+    "store_calls_total", "Count calls to the object API.", "call", "result"
+)
+STORE_SECONDS = histogram(
+    "store_call_seconds", "Time of one call to the object API.", "call"
+)
+GROUP_TERM = gauge("group_term", "Term of the group's primary.", "service")
+TARGET_LAG = gauge(
+    "target_lag_seconds", "Age of the data that a target has applied.", "target"
+)
+POOL_CONNECTIONS = gauge(
+    "pool_connections", "Connections to a target by state.", "target", "state"
+)
+SERVICE_REVISION = gauge(
+    "service_revision", "Revision of a service that is in force.", "service"
+)
+REVISIONS = counter(
+    "revisions_total",
+    "Count revisions received by source and verdict.",
+    "from",
+    "verdict",
+)
+LOG_SUPPRESSED = counter(
+    "log_suppressed_total", "Count log lines left out as repeated.", "part"
+)
