Stand in for the platform's object API and for a faulty network

The platform keeps objects with store-wide versions and rates, and can be out, slow or lose an answer after its effect. Links carry TCP with latency and can be cut in each direction, silenced, refused or closed in the middle of an answer.

--- /dev/null
+++ b/src/rosemaryridge_testbed/_process.py
@@ -0,0 +1,13 @@
+"""Help a stand-in's process to end."""
+
+import asyncio
+import signal
+
+
+async def until_signalled() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
--- a/src/rosemaryridge_testbed/cli/standin.py
+++ b/src/rosemaryridge_testbed/cli/standin.py
@@ -4,6 +4,10 @@
 import msgspec
 import uvloop
 
+from rosemaryridge_testbed.link import LinkSpec
+from rosemaryridge_testbed.link import run_links
+from rosemaryridge_testbed.platform import PlatformOptions
+from rosemaryridge_testbed.platform import run_platform
 from rosemaryridge_testbed.target import Knobs
 from rosemaryridge_testbed.target import TargetOptions
 from rosemaryridge_testbed.target import run_target
@@ -31,5 +35,32 @@
     uvloop.run(run_target(TargetOptions(routes=pairs, **options), chosen))
 
 
+@main.command()
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", type=int, required=True)
+@click.option("--writes-per-s", default=300.0, show_default=True)
+@click.option("--reads-per-s", default=2000.0, show_default=True)
+def platform(**options: object) -> None:
+    """Serve the platform's object API and VM list."""
+    uvloop.run(run_platform(PlatformOptions(**options)))
+
+
+@main.command("fault-proxy")
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--admin-port", type=int, required=True)
+@click.option("--seed", default=0, show_default=True)
+@click.argument("links", nargs=-1)
+def fault_proxy(host: str, admin_port: int, seed: int, links: tuple[str, ...]) -> None:
+    """Carry links, each given as NAME=PORT:TO_HOST:TO_PORT."""
+    specs = [_parse_link(link) for link in links]
+    uvloop.run(run_links(host, admin_port, specs, seed))
+
+
+def _parse_link(text: str) -> LinkSpec:
+    name, _, rest = text.partition("=")
+    port, to_host, to_port = rest.split(":")
+    return LinkSpec(name, int(port), to_host, int(to_port))
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/src/rosemaryridge_testbed/link/__init__.py
@@ -0,0 +1,8 @@
+"""Stand in for the network: TCP links that can be delayed, cut and silenced."""
+
+from rosemaryridge_testbed.link._link import Link
+from rosemaryridge_testbed.link._link import LinkFaults
+from rosemaryridge_testbed.link._link import LinkSpec
+from rosemaryridge_testbed.link._server import run_links
+
+__all__ = ["Link", "LinkFaults", "LinkSpec", "run_links"]
--- /dev/null
+++ b/src/rosemaryridge_testbed/link/_server.py
@@ -0,0 +1,99 @@
+"""Run many links in one process, with an admin port."""
+
+import random
+import typing as t
+
+import msgspec
+from aiohttp import web
+
+from rosemaryridge_testbed._process import until_signalled
+from rosemaryridge_testbed.link._link import Link
+from rosemaryridge_testbed.link._link import LinkFaults
+from rosemaryridge_testbed.link._link import LinkSpec
+
+Command = t.Callable[[Link, dict[str, t.Any]], None]
+_COMMANDS: dict[str, Command] = {}
+
+
+def _command(name: str) -> t.Callable[[Command], Command]:
+    def register(command: Command) -> Command:
+        _COMMANDS[name] = command
+        return command
+
+    return register
+
+
+@_command("faults")
+def _faults(link: Link, change: dict[str, t.Any]) -> None:
+    merged = {**msgspec.structs.asdict(link.faults), **change}
+    link.set_faults(msgspec.convert(merged, LinkFaults))
+
+
+@_command("silence")
+def _silence(link: Link, _change: dict[str, t.Any]) -> None:
+    link.silence()
+
+
+@_command("close-all")
+def _close_all(link: Link, _change: dict[str, t.Any]) -> None:
+    link.close_all()
+
+
+@_command("close-after")
+def _close_after(link: Link, change: dict[str, t.Any]) -> None:
+    link.close_after(int(change["bytes"]))
+
+
+class LinkServer:
+    """Own the links of one process."""
+
+    def __init__(self, specs: t.Iterable[LinkSpec], seed: int):
+        self._links = {
+            spec.name: Link(spec, random.Random(f"{seed}/{spec.name}"))
+            for spec in specs
+        }
+
+    def application(self) -> web.Application:
+        """Return the admin routes."""
+        app = web.Application()
+        app.router.add_get("/state", self._get_state)
+        app.router.add_post("/{command}", self._post)
+        return app
+
+    async def start(self, host: str) -> None:
+        """Listen on every link's port."""
+        for link in self._links.values():
+            await link.start(host)
+
+    async def stop(self) -> None:
+        """Close every link."""
+        for link in self._links.values():
+            await link.stop()
+
+    async def _post(self, req: web.Request) -> web.Response:
+        change = msgspec.json.decode(await req.read() or b"{}")
+        names = change.pop("links")
+        command = _COMMANDS[req.match_info["command"]]
+        for name in names:
+            command(self._links[name], change)
+        return web.json_response({})
+
+    async def _get_state(self, _req: web.Request) -> web.Response:
+        counts = {name: link.connections for name, link in self._links.items()}
+        return web.json_response(counts)
+
+
+async def run_links(
+    host: str, admin_port: int, specs: t.Sequence[LinkSpec], seed: int
+) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    server = LinkServer(specs, seed)
+    await server.start(host)
+    runner = web.AppRunner(server.application(), access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, host, admin_port).start()
+    try:
+        await until_signalled()
+    finally:
+        await server.stop()
+        await runner.cleanup()
--- /dev/null
+++ b/src/rosemaryridge_testbed/platform/_server.py
@@ -0,0 +1,189 @@
+"""Serve the object API over HTTP, with faults that a test can switch on."""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+import typing as t
+
+import msgspec
+from aiohttp import web
+
+from rosemaryridge_testbed._process import until_signalled
+from rosemaryridge_testbed.platform._store import Conflict
+from rosemaryridge_testbed.platform._store import RateLimit
+from rosemaryridge_testbed.platform._store import Store
+from rosemaryridge_testbed.platform._store import TooLarge
+
+Handler = t.Callable[[web.Request], t.Awaitable[web.StreamResponse]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformOptions:
+    """Set where the platform listens and what rates it allows."""
+
+    host: str
+    port: int
+    writes_per_s: float = 300.0
+    reads_per_s: float = 2000.0
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """Describe one VM on the list."""
+
+    vm: str
+    address: str
+    failure_domain: str
+    leaving: bool = False
+
+
+class Faults(msgspec.Struct, kw_only=True):
+    """Hold the faults in force; `lose_answers` counts writes left to lose."""
+
+    outage: bool = False
+    slow_ms: float = 0.0
+    lose_answers: int = 0
+    vm_list_lag_ms: float = 0.0
+
+
+class Counts(msgspec.Struct):
+    """Count the calls that were answered and refused."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    limited: int = 0
+
+
+class Platform:
+    """Answer the object API and the admin calls."""
+
+    def __init__(self, options: PlatformOptions):
+        now = time.monotonic()
+        self._reads = RateLimit(options.reads_per_s, now)
+        self._writes = RateLimit(options.writes_per_s, now)
+        self._store = Store()
+        self._faults = Faults()
+        self._counts = Counts()
+        self._vms: tuple[Vm, ...] = ()
+        self._changed = asyncio.Event()
+
+    def application(self) -> web.Application:
+        """Return the routes."""
+        app = web.Application(middlewares=[self._guard], client_max_size=8 << 20)
+        router = app.router
+        router.add_get("/v1/objects/{kind}", self._list)
+        router.add_get("/v1/objects/{kind}/{name}", self._get)
+        router.add_put("/v1/objects/{kind}/{name}", self._put)
+        router.add_get("/v1/watch/{kind}", self._watch)
+        router.add_get("/v1/vms", self._get_vms)
+        router.add_get("/admin/state", self._get_state)
+        router.add_post("/admin/faults", self._post_faults)
+        router.add_post("/admin/vms", self._post_vms)
+        return app
+
+    @web.middleware
+    async def _guard(self, req: web.Request, handler: Handler) -> web.StreamResponse:
+        if req.path.startswith("/admin/"):
+            return await handler(req)
+        limit = self._writes if req.method == "PUT" else self._reads
+        wait_s = limit.take(time.monotonic())
+        if wait_s > 0.0:
+            self._counts.limited += 1
+            return web.Response(status=429, headers={"Retry-After": f"{wait_s:.3f}"})
+        await asyncio.sleep(self._faults.slow_ms / 1000.0)
+        if self._faults.outage:
+            return web.Response(status=503)
+        return await handler(req)
+
+    async def _list(self, req: web.Request) -> web.Response:
+        self._counts.reads += 1
+        return self._changes(req.match_info["kind"], 0)
+
+    def _changes(self, kind: str, since: int) -> web.Response:
+        objects = self._store.list(kind, since)
+        return _json({"revision": self._store.revision, "objects": objects})
+
+    async def _get(self, req: web.Request) -> web.Response:
+        self._counts.reads += 1
+        item = self._store.get(req.match_info["kind"], req.match_info["name"])
+        return _json(item) if item else web.Response(status=404)
+
+    async def _put(self, req: web.Request) -> web.Response:
+        self._counts.writes += 1
+        kind, name = req.match_info["kind"], req.match_info["name"]
+        expected = int(req.headers.get("If-Match", "0").strip('"'))
+        value = (await req.read()).decode()
+        try:
+            item = self._store.put(kind, name, value, expected)
+        except Conflict as exc:
+            return _json({"version": exc.version}, status=412)
+        except TooLarge:
+            return web.Response(status=413)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if self._faults.lose_answers > 0:
+            self._faults.lose_answers -= 1
+            req.transport.abort()
+        return _json(item)
+
+    async def _watch(self, req: web.Request) -> web.Response:
+        self._counts.watches += 1
+        kind = req.match_info["kind"]
+        since = int(req.query.get("since", "0"))
+        end = time.monotonic() + min(float(req.query.get("wait_s", "30")), 60.0)
+        while not self._faults.outage and not self._store.list(kind, since):
+            left_s = end - time.monotonic()
+            changed = self._changed
+            if left_s <= 0.0:
+                break
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(changed.wait(), left_s)
+        if self._faults.outage:
+            return web.Response(status=503)
+        return self._changes(kind, since)
+
+    async def _get_vms(self, _req: web.Request) -> web.Response:
+        self._counts.reads += 1
+        return _json({"vms": self._vms})
+
+    async def _post_vms(self, req: web.Request) -> web.Response:
+        vms = msgspec.json.decode(await req.read(), type=tuple[Vm, ...])
+        lag_s = self._faults.vm_list_lag_ms / 1000.0
+        if lag_s > 0.0:
+            asyncio.get_running_loop().call_later(lag_s, self._set_vms, vms)
+        else:
+            self._set_vms(vms)
+        return _json({"vms": vms})
+
+    def _set_vms(self, vms: tuple[Vm, ...]) -> None:
+        self._vms = vms
+
+    async def _post_faults(self, req: web.Request) -> web.Response:
+        change = msgspec.json.decode(await req.read())
+        merged = {**msgspec.structs.asdict(self._faults), **change}
+        self._faults = msgspec.convert(merged, Faults)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return _json(self._faults)
+
+    async def _get_state(self, _req: web.Request) -> web.Response:
+        state = {"faults": self._faults, "counts": self._counts}
+        return _json({**state, "revision": self._store.revision})
+
+
+def _json(value: t.Any, status: int = 200) -> web.Response:
+    body = msgspec.json.encode(value)
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
+async def run_platform(options: PlatformOptions) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    app = Platform(options).application()
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, options.host, options.port).start()
+    try:
+        await until_signalled()
+    finally:
+        await runner.cleanup()
--- a/src/rosemaryridge_testbed/target/_admin.py
+++ b/src/rosemaryridge_testbed/target/_admin.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 import pathlib
-import signal
 
 import msgspec
 from aiohttp import web
 
 from rosemaryridge.model import Role
+from rosemaryridge_testbed._process import until_signalled
 from rosemaryridge_testbed.target._engine import Engine
 from rosemaryridge_testbed.target._knobs import Gate
 from rosemaryridge_testbed.target._knobs import Knobs
@@ -146,12 +146,3 @@
     finally:
         with contextlib.suppress(OSError):
             await target.stop()
-
-
-async def until_signalled() -> None:
-    """Wait for SIGTERM or SIGINT."""
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
--- a/src/rosemaryridge_testbed/target/_connection.py
+++ b/src/rosemaryridge_testbed/target/_connection.py
@@ -31,9 +31,10 @@
         await self._send(entry, parsed.max_rows)
 
     def _require_sound(self, sql: str) -> None:
+        if self.tx_status != b"E":
+            return
         control = parse_control(sql)
-        ends = control is not None and control.tag in ("COMMIT", "ROLLBACK")
-        if self.tx_status == b"E" and not ends:
+        if control is None or control.tag not in ("COMMIT", "ROLLBACK"):
             raise PgError("25P02", "current transaction is aborted, commands ignored")
 
     async def _send(self, entry: t.Any, max_rows: int) -> None:
--- a/src/rosemaryridge_testbed/target/_sql.py
+++ b/src/rosemaryridge_testbed/target/_sql.py
@@ -74,7 +74,7 @@
 
 
 _NAME = r'"?([\w.]+)"?'
-_CONTROL = (
+_CONTROL_TEXTS = (
     (Kind.BEGIN, "BEGIN", r"BEGIN\b"),
     (Kind.BEGIN, "START TRANSACTION", r"START\s+TRANSACTION\b"),
     (Kind.COMMIT, "COMMIT", r"(?:COMMIT|END)\b"),
@@ -93,6 +93,12 @@
 )
 
 
+_CONTROL = tuple(
+    (kind, tag, re.compile(pattern, re.I | re.S))
+    for kind, tag, pattern in _CONTROL_TEXTS
+)
+
+
 def strip_comments(sql: str) -> str:
     """Drop leading comments and spaces."""
     return _COMMENT.sub("", sql)
@@ -107,7 +113,7 @@
     """Recognize a statement that concerns the connection or the group."""
     body = strip_comments(sql).rstrip().rstrip(";")
     for kind, tag, pattern in _CONTROL:
-        found = re.match(pattern, body, re.I | re.S)
+        found = pattern.match(body)
         if found:
             return Parsed(kind, tag, args=tuple(found.groups()))
     found = _VERB.match(body)
