--- a/src/rosemaryridge/membership/__init__.py
+++ b/src/rosemaryridge/membership/__init__.py
@@ -1,1 +1,7 @@
-"""TODO."""
+"""Know which proxies are live and place work on them."""
+
+from rosemaryridge.membership._member import Member
+from rosemaryridge.membership._service import Membership
+from rosemaryridge.membership._settings import MembershipTuning
+
+__all__ = ["Member", "Membership", "MembershipTuning"]
--- /dev/null
+++ b/src/rosemaryridge/membership/_hash.py
@@ -0,0 +1,8 @@
+"""Hash text to 64 bits."""
+
+import xxhash
+
+
+def hash64(text: str, seed: int = 0) -> int:
+    """Return the same number for the same text on every proxy."""
+    return xxhash.xxh3_64_intdigest(text.encode(), seed)
--- a/src/rosemaryridge/peer/_bus.py
+++ b/src/rosemaryridge/peer/_bus.py
@@ -22,8 +22,8 @@
     def send(self, vm: str, message: PeerMessage) -> None:
         """Send to one peer, best effort and in order."""
 
-    def broadcast(self, message: PeerMessage) -> None:
-        """Send to every connected peer, best effort and in order."""
+    def broadcast(self, message: PeerMessage, exclude: str = "") -> None:
+        """Send to every connected peer but one, best effort and in order."""
 
     async def ask(self, vm: str, message: PeerMessage, timeout_s: float) -> PeerMessage:
         """Send to one peer and return its answer; raise PeerUnavailable."""
--- a/src/rosemaryridge/peer/_grpc_bus.py
+++ b/src/rosemaryridge/peer/_grpc_bus.py
@@ -53,6 +53,7 @@
         self._server = PeerServer(self._accept)
         self._links: dict[str, Link] = {}
         self._dialers: dict[str, Dialer] = {}
+        self._contacts: dict[Endpoint, asyncio.Task[bool]] = {}
         self._neighbours: frozenset[str] = frozenset()
         self._book: dict[str, Endpoint] = {}
         self._early: dict[str, list[tuple[Envelope, bool]]] = {}
@@ -76,6 +77,8 @@
         for dialer in self._dialers.values():
             dialer.stop()
         self._dialers.clear()
+        for task in list(self._contacts.values()):
+            task.cancel()
         for link in list(self._links.values()):
             link.close()
         await self._server.stop()
@@ -104,18 +107,30 @@
     def set_neighbours(self, vms: t.Iterable[str]) -> None:
         """Choose the peers to which streams are kept."""
         self._neighbours = frozenset(vms) - {self.identity.vm}
+        needed = self._neighbours | self._links.keys() | self._early.keys()
+        for vm in [vm for vm in self._dialers if vm not in needed]:
+            self._dialers.pop(vm).stop()
         for vm in self._neighbours:
             self._dial(vm)
 
+    def contact(self, endpoint: Endpoint) -> None:
+        """Open a stream once to a peer whose VM is not known yet."""
+        if endpoint not in self._contacts:
+            task = asyncio.ensure_future(self._open(endpoint))
+            self._contacts[endpoint] = task
+            task.add_done_callback(lambda _: self._contacts.pop(endpoint, None))
+
     def send(self, vm: str, message: PeerMessage) -> None:
         """Send to one peer, best effort and in order."""
         self._post(vm, self._dispatcher.envelope(message))
 
-    def broadcast(self, message: PeerMessage) -> None:
-        """Send to every connected peer, best effort and in order."""
+    def broadcast(self, message: PeerMessage, exclude: str = "") -> None:
+        """Send to every connected peer but one, best effort and in order."""
         envelope = self._dispatcher.envelope(message)
-        for link in self._links.values():
-            link.send(envelope)
+        for vm, link in self._links.items():
+            if vm != exclude:
+                self.stats.messages_out += 1
+                link.send(envelope)
 
     async def ask(self, vm: str, message: PeerMessage, timeout_s: float) -> PeerMessage:
         """Send to one peer and return its answer; raise PeerUnavailable."""
@@ -190,6 +205,7 @@
         self.stats.messages_out += 1
         link = self._links.get(vm)
         if link is not None:
+            link.used_at = self._timer.now()
             link.send(envelope, urgent)
             return
         early = self._early.setdefault(vm, [])
@@ -216,6 +232,9 @@
         if vm in self._links:
             await asyncio.sleep(self._cfg.heartbeat_s)
             return True
+        return await self._open(endpoint)
+
+    async def _open(self, endpoint: Endpoint) -> bool:
         try:
             async with dial(endpoint) as stream:
                 return await self._serve(stream, dialed=True)
--- a/src/rosemaryridge/peer/_link.py
+++ b/src/rosemaryridge/peer/_link.py
@@ -68,7 +68,6 @@
     def send(self, envelope: Envelope, urgent: bool = False) -> None:
         """Queue a message; an urgent one goes at once with all before it."""
         self.outbox.push(envelope)
-        self.used_at = self._timer.now()
         if urgent or len(self.outbox) >= self._cfg.batch_limit:
             self._wake.set()
         elif self._flush is None:
