Put the pools' and streams' settings into the settings file

The operator could not set what the pools and the peers' streams are tuned by. Sections live in config, except those of parts that config itself builds on; the description of fields moves to a module that all can import.

--- a/src/rosemaryridge/config/_check.py
+++ b/src/rosemaryridge/config/_check.py
@@ -7,10 +7,10 @@
 import typing as t
 
 from rosemaryridge.config._converters import CONVERTERS
-from rosemaryridge.config._fields import Between
-from rosemaryridge.config._fields import NotEmpty
-from rosemaryridge.config._fields import is_required
-from rosemaryridge.config._fields import note_of
+from rosemaryridge.fields import Between
+from rosemaryridge.fields import NotEmpty
+from rosemaryridge.fields import is_required
+from rosemaryridge.fields import note_of
 
 _INVALID: t.Final = object()
 _FOUND_MAX_CHARS = 60
--- a/src/rosemaryridge/config/_load.py
+++ b/src/rosemaryridge/config/_load.py
@@ -11,10 +11,10 @@
 from rosemaryridge.config import _rules  # noqa: F401  (registers the rules)
 from rosemaryridge.config._check import Checker
 from rosemaryridge.config._check import Fault
-from rosemaryridge.config._fields import note_of
 from rosemaryridge.config._service import ServiceConfig
 from rosemaryridge.config._settings import ProxySettings
 from rosemaryridge.exceptions import SettingsError
+from rosemaryridge.fields import note_of
 from rosemaryridge.model import Endpoint
 
 _PathLike = str | pathlib.Path
--- a/src/rosemaryridge/config/_service.py
+++ b/src/rosemaryridge/config/_service.py
@@ -4,14 +4,14 @@
 import enum
 import typing as t
 
-from rosemaryridge.config._fields import Between
-from rosemaryridge.config._fields import Count
-from rosemaryridge.config._fields import Name
-from rosemaryridge.config._fields import NotEmpty
-from rosemaryridge.config._fields import Positive
-from rosemaryridge.config._fields import Seconds
-from rosemaryridge.config._fields import Share
-from rosemaryridge.config._fields import setting
+from rosemaryridge.fields import Between
+from rosemaryridge.fields import Count
+from rosemaryridge.fields import Name
+from rosemaryridge.fields import NotEmpty
+from rosemaryridge.fields import Positive
+from rosemaryridge.fields import Seconds
+from rosemaryridge.fields import Share
+from rosemaryridge.fields import setting
 from rosemaryridge.model import Endpoint
 
 _LONGEST_DEADLINE_S = 3_600.0
--- a/src/rosemaryridge/config/_settings.py
+++ b/src/rosemaryridge/config/_settings.py
@@ -2,13 +2,14 @@
 
 import dataclasses
 
-from rosemaryridge.config._fields import Count
-from rosemaryridge.config._fields import Name
-from rosemaryridge.config._fields import Positive
-from rosemaryridge.config._fields import Seconds
-from rosemaryridge.config._fields import Share
-from rosemaryridge.config._fields import setting
+from rosemaryridge.fields import Count
+from rosemaryridge.fields import Name
+from rosemaryridge.fields import Positive
+from rosemaryridge.fields import Seconds
+from rosemaryridge.fields import Share
+from rosemaryridge.fields import setting
 from rosemaryridge.model import Endpoint
+from rosemaryridge.peer import BusSettings
 from rosemaryridge.telemetry import LogLevel
 
 _KIB = 1024
@@ -38,7 +39,7 @@
     seeds: tuple[Endpoint, ...] = setting(
         (), "Proxies to ask when the object API is down."
     )
-    connect_timeout_s: Seconds = setting(2.0, "Time to open a stream to a peer.")
+    bus: BusSettings = BusSettings()
     ask_timeout_s: Seconds = setting(2.0, "Time for a peer to answer.")
 
 
@@ -104,7 +105,25 @@
 class PoolSettings:
     """Share connections to targets."""
 
-    idle_timeout_s: Seconds = setting(60.0, "Time that an unused connection stays.")
+    fleet_size: Positive = setting(
+        21, "Largest number of proxies; each may always use that part of a target."
+    )
+    reserved_connections: Count = setting(
+        3, "Connections that stay free on each target for control."
+    )
+    max_opening: Positive = setting(2, "Connections opened to a target at once.")
+    open_gap_s: Seconds = setting(0.02, "Least time between two openings.")
+    open_timeout_s: Seconds = setting(2.0, "Time to open a connection.")
+    backoff_min_s: Seconds = setting(0.05, "First pause after a failed opening.")
+    backoff_max_s: Seconds = setting(2.0, "Longest pause after failed openings.")
+    idle_check_s: Seconds = setting(
+        1.0, "Idle time after which a connection is tested before it is used."
+    )
+    idle_check_timeout_s: Seconds = setting(0.5, "Time for that test.")
+    idle_close_s: Seconds = setting(60.0, "Idle time after which it is closed.")
+    business_active_s: Seconds = setting(
+        5.0, "Time for which a business counts as active after a request."
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/rosemaryridge/peer/_settings.py
+++ b/src/rosemaryridge/peer/_settings.py
@@ -2,22 +2,25 @@
 
 import dataclasses
 
+from rosemaryridge.fields import Positive
+from rosemaryridge.fields import Seconds
+from rosemaryridge.fields import setting
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BusSettings:
-    """Tune the streams between proxies.
-
-    `flush_s` is the time that messages are gathered into a batch; `queue_limit`
-    the messages that may wait for one peer before the oldest are dropped;
-    `idle_close_s` the time after which a stream that was opened on demand closes.
-    """
+    """Tune the streams between proxies."""
 
-    connect_timeout_s: float = 2.0
-    flush_s: float = 0.02
-    batch_limit: int = 256
-    queue_limit: int = 4096
-    heartbeat_s: float = 2.0
-    silent_timeout_s: float = 6.0
-    idle_close_s: float = 30.0
-    backoff_min_s: float = 0.1
-    backoff_max_s: float = 5.0
+    connect_timeout_s: Seconds = setting(2.0, "Time to open a stream to a peer.")
+    flush_s: Seconds = setting(0.02, "Time that messages are gathered into a batch.")
+    batch_limit: Positive = setting(256, "Messages in one batch.")
+    queue_limit: Positive = setting(
+        4096, "Messages that may wait for a peer before the oldest are dropped."
+    )
+    heartbeat_s: Seconds = setting(2.0, "Time between two heartbeats on a stream.")
+    silent_timeout_s: Seconds = setting(6.0, "Silence after which a stream closes.")
+    idle_close_s: Seconds = setting(
+        30.0, "Idle time after which a stream that was opened on demand closes."
+    )
+    backoff_min_s: Seconds = setting(0.1, "First pause after a failed connection.")
+    backoff_max_s: Seconds = setting(5.0, "Longest pause after failed connections.")
