--- a/src/rosemaryridge_testbed/cli/standin.py
+++ b/src/rosemaryridge_testbed/cli/standin.py
@@ -51,15 +51,15 @@
 @click.option("--seed", default=0, show_default=True)
 @click.argument("links", nargs=-1)
 def fault_proxy(host: str, admin_port: int, seed: int, links: tuple[str, ...]) -> None:
-    """Carry links, each given as NAME=PORT:TO_HOST:TO_PORT."""
+    """Carry links, each given as NAME=PORT:TO_HOST:TO_PORT[:by-user]."""
     specs = [_parse_link(link) for link in links]
     uvloop.run(run_links(host, admin_port, specs, seed))
 
 
 def _parse_link(text: str) -> LinkSpec:
     name, _, rest = text.partition("=")
-    port, to_host, to_port = rest.split(":")
-    return LinkSpec(name, int(port), to_host, int(to_port))
+    port, to_host, to_port, *by_user = rest.split(":")
+    return LinkSpec(name, int(port), to_host, int(to_port), bool(by_user))
 
 
 if __name__ == "__main__":
--- a/src/rosemaryridge_testbed/link/_server.py
+++ b/src/rosemaryridge_testbed/link/_server.py
@@ -7,11 +7,12 @@
 from aiohttp import web
 
 from rosemaryridge_testbed._process import until_signalled
+from rosemaryridge_testbed.link._flow import Channel
+from rosemaryridge_testbed.link._flow import LinkFaults
 from rosemaryridge_testbed.link._link import Link
-from rosemaryridge_testbed.link._link import LinkFaults
 from rosemaryridge_testbed.link._link import LinkSpec
 
-Command = t.Callable[[Link, dict[str, t.Any]], None]
+Command = t.Callable[[Channel, dict[str, t.Any]], None]
 _COMMANDS: dict[str, Command] = {}
 
 
@@ -24,24 +25,24 @@
 
 
 @_command("faults")
-def _faults(link: Link, change: dict[str, t.Any]) -> None:
-    merged = {**msgspec.structs.asdict(link.faults), **change}
-    link.set_faults(msgspec.convert(merged, LinkFaults))
+def _faults(channel: Channel, change: dict[str, t.Any]) -> None:
+    merged = {**msgspec.structs.asdict(channel.faults), **change}
+    channel.set_faults(msgspec.convert(merged, LinkFaults))
 
 
 @_command("silence")
-def _silence(link: Link, _change: dict[str, t.Any]) -> None:
-    link.silence()
+def _silence(channel: Channel, _change: dict[str, t.Any]) -> None:
+    channel.silence()
 
 
 @_command("close-all")
-def _close_all(link: Link, _change: dict[str, t.Any]) -> None:
-    link.close_all()
+def _close_all(channel: Channel, _change: dict[str, t.Any]) -> None:
+    channel.close_all()
 
 
 @_command("close-after")
-def _close_after(link: Link, change: dict[str, t.Any]) -> None:
-    link.close_after(int(change["bytes"]))
+def _close_after(channel: Channel, change: dict[str, t.Any]) -> None:
+    channel.close_after(int(change["bytes"]))
 
 
 class LinkServer:
@@ -56,7 +57,6 @@
     def application(self) -> web.Application:
         """Return the admin routes."""
         app = web.Application()
-        app.router.add_get("/state", self._get_state)
         app.router.add_post("/{command}", self._post)
         return app
 
@@ -75,13 +75,10 @@
         names = change.pop("links")
         command = _COMMANDS[req.match_info["command"]]
         for name in names:
-            command(self._links[name], change)
+            link = self._links[name.partition("/")[0]]
+            command(link.channel(name), change)
         return web.json_response({})
 
-    async def _get_state(self, _req: web.Request) -> web.Response:
-        counts = {name: link.connections for name, link in self._links.items()}
-        return web.json_response(counts)
-
 
 async def run_links(
     host: str, admin_port: int, specs: t.Sequence[LinkSpec], seed: int
