Decide a request's outcome at each cut point

Cause: done, not run and unknown must be true whatever fails, and a retry must never run a request twice. Conclusion: a write counts as not run only while nothing of it was sent or the target itself took it back.

--- a/src/rosemaryridge/codes/_request.py
+++ b/src/rosemaryridge/codes/_request.py
@@ -51,3 +51,43 @@
     "The transaction's connection was lost before COMMIT was sent.",
     "Run the transaction again.",
 )
+READ_DEADLINE = define(
+    4007,
+    "read_deadline",
+    Outcome.NOT_RUN,
+    "57014",
+    "The deadline of a read passed; it changed nothing.",
+    "Raise the deadline or come back later.",
+)
+KEY_NOT_RUN = define(
+    4008,
+    "key_not_run",
+    Outcome.NOT_RUN,
+    "55000",
+    "The request key was looked up and closed before the request arrived.",
+    "Send the request again with a new key.",
+)
+KEY_MISMATCH = define(
+    4009,
+    "key_mismatch",
+    Outcome.NOT_RUN,
+    "22023",
+    "The request key belongs to another statement or other parameters.",
+    "Use a key of its own for each request.",
+)
+TRANSACTION_KEY_RUN = define(
+    4010,
+    "transaction_key_run",
+    Outcome.DONE,
+    "55000",
+    "A transaction with this key was committed before.",
+    "Nothing; do not run it again.",
+)
+CANCELED_NOT_SENT = define(
+    4011,
+    "canceled_not_sent",
+    Outcome.NOT_RUN,
+    "57014",
+    "The caller cancelled the statement before it was sent.",
+    "Nothing.",
+)
