--- a/src/rosemaryridge/exceptions.py
+++ b/src/rosemaryridge/exceptions.py
@@ -48,3 +48,15 @@
 
 class PeerUnavailable(RosemaryridgeError):
     """Report that a peer could not be reached or did not answer in time."""
+
+
+class TargetUnavailable(RosemaryridgeError):
+    """Report that a target gave no answer; what was asked may have been done."""
+
+
+class FenceRefused(RosemaryridgeError):
+    """Report that a target has promised itself to another term or candidate."""
+
+    def __init__(self, fenced_term: int):
+        super().__init__(f"the target is fenced at term {fenced_term}")
+        self.fenced_term = fenced_term
--- /dev/null
+++ b/src/rosemaryridge/proxy/_autocommit.py
@@ -0,0 +1,317 @@
+"""Run one statement that is a transaction of its own."""
+
+import abc
+import asyncio
+
+import asyncpg
+
+from rosemaryridge import codes
+from rosemaryridge.exceptions import Refusal
+from rosemaryridge.model import Outcome
+from rosemaryridge.proxy._attempt import CHUNK_ROWS
+from rosemaryridge.proxy._attempt import RowStream
+from rosemaryridge.proxy._attempt import Work
+from rosemaryridge.proxy._attempt import prepare
+from rosemaryridge.proxy._attempt import total_tag
+from rosemaryridge.proxy._caller_state import CallerState
+from rosemaryridge.proxy._caller_state import Terms
+from rosemaryridge.proxy._connect import CONNECTION_ERRORS
+from rosemaryridge.proxy._parts import Parts
+from rosemaryridge.proxy._placing import Placement
+from rosemaryridge.proxy._placing import Placer
+from rosemaryridge.proxy._running import Running
+from rosemaryridge.proxy._running import cancel_quietly
+from rosemaryridge.proxy._running import run_aside
+from rosemaryridge.request import Answered
+from rosemaryridge.request import Confirm
+from rosemaryridge.request import Confirmed
+from rosemaryridge.request import ConfirmFailed
+from rosemaryridge.request import Continue
+from rosemaryridge.request import DeadlinePassed
+from rosemaryridge.request import Delivered
+from rosemaryridge.request import Effect
+from rosemaryridge.request import Failed
+from rosemaryridge.request import Finish
+from rosemaryridge.request import Lost
+from rosemaryridge.request import Refused
+from rosemaryridge.request import Request
+from rosemaryridge.request import RequestKind
+from rosemaryridge.request import Retry
+from rosemaryridge.request import Sent
+from rosemaryridge.request import Stage
+from rosemaryridge.wire import Completion
+from rosemaryridge.wire import Fetched
+from rosemaryridge.wire import Prepared
+
+_RETRY_PAUSE_S = 0.02
+_NOWHERE = (codes.limits.NO_TARGET, codes.group.NO_PRIMARY)
+# The time that a caller gets to take in a chunk and the target to send the next.
+_CHUNK_TIMEOUT_S = 30.0
+
+
+class Autocommit(abc.ABC):
+    """Run one statement, again where that is safe, until its outcome is known."""
+
+    kind: RequestKind
+
+    def __init__(
+        self, parts: Parts, placer: Placer, state: CallerState, terms: Terms, work: Work
+    ):
+        retry_unknown = parts.faults.retry_unknown
+        self.request = Request(self.kind, terms.idempotent, retry_unknown)
+        self.running = Running(self.request)
+        self.scope: asyncio.Timeout | None = None
+        self._parts = parts
+        self._placer = placer
+        self._state = state
+        self._terms = terms
+        self._work = work
+        self._exclude: frozenset[str] = frozenset()
+        self._error: asyncpg.PostgresError | None = None
+        self._refusal: Refusal | None = None
+
+    async def run(self, max_rows: int) -> Completion:
+        """Return how the statement was completed; raise its error or a Refusal."""
+        while True:
+            effect = await self._attempt(max_rows)
+            if isinstance(effect, Retry):
+                effect = await self._before_retry(effect)
+            if isinstance(effect, Finish):
+                return await self._conclude(effect)
+
+    @abc.abstractmethod
+    async def _exchange(
+        self, placement: Placement, prepared: Prepared, max_rows: int
+    ) -> Effect:
+        """Send the statement and read the answer."""
+
+    @abc.abstractmethod
+    async def _confirm(self, placement: Placement) -> None:
+        """Wait for the group to stand behind the answer; raise Refusal."""
+
+    @abc.abstractmethod
+    async def _deliver(self) -> Completion:
+        """Pass on what is not passed on yet."""
+
+    async def _conclude(self, finish: Finish) -> Completion:
+        self._state.last_outcome = finish.outcome
+        if finish.code is not None:
+            raise self._final_refusal(finish)
+        if finish.outcome is not Outcome.DONE:
+            raise self._error
+        self._parts.budget.on_success(self._state.business)
+        return await self._deliver()
+
+    def _final_refusal(self, finish: Finish) -> Refusal:
+        if self._refusal is not None and self._refusal.code is finish.code:
+            return self._refusal
+        return Refusal(finish.code, retry_after_s=finish.retry_after_s)
+
+    async def _before_retry(self, retry: Retry) -> Effect:
+        parts = self._parts
+        if self.request.target:
+            self._exclude |= {self.request.target}
+        if not parts.budget.allow(self._state.business):
+            return self._refused(Refusal(codes.limits.RETRY_BUDGET_SPENT, "", 0.5))
+        parts.metrics.retry(retry.reason, self._state.service)
+        pause_s = parts.rng.random() * _RETRY_PAUSE_S
+        if parts.timer.now() + pause_s >= self._terms.deadline:
+            return self.request.on_event(DeadlinePassed())
+        await asyncio.sleep(pause_s)
+        return Continue()
+
+    def _refused(self, exc: Refusal) -> Effect:
+        self._refusal = exc
+        return self.request.on_event(Refused(exc.code, exc.retry_after_s))
+
+    async def _attempt(self, max_rows: int) -> Effect:
+        try:
+            async with asyncio.timeout_at(self._terms.deadline) as scope:
+                self.scope = self.running.scope = scope
+                return await self._place_and_run(max_rows)
+        except TimeoutError:
+            return self.running.finish or self.request.on_event(DeadlinePassed())
+        except Refusal as exc:
+            return self._refused(exc)
+        finally:
+            self.running.scope = None
+
+    async def _place_and_run(self, max_rows: int) -> Effect:
+        try:
+            placement = await self._place()
+        except Refusal as exc:
+            if exc.code is not codes.limits.NO_TARGET or self._is_write:
+                raise
+            return self._unreachable(exc)
+        except CONNECTION_ERRORS:
+            return self.request.on_event(Lost())
+        effect = await self._run_and_give_back(placement, max_rows)
+        if isinstance(effect, Confirm):
+            effect = await self._confirm_answer(placement)
+        return effect
+
+    @property
+    def _is_write(self) -> bool:
+        return self.kind is RequestKind.WRITE
+
+    async def _place(self) -> Placement:
+        try:
+            return await self._placer.place(self._is_write, self._terms, self._exclude)
+        except Refusal as exc:
+            if exc.code not in _NOWHERE or not self._exclude:
+                raise
+        # A connection was lost, which says little about its target.
+        self._exclude = frozenset()
+        return await self._placer.place(self._is_write, self._terms, self._exclude)
+
+    def _unreachable(self, exc: Refusal) -> Effect:
+        """Go on with another target where the first one cannot be reached."""
+        before, self._refusal = self._refusal, exc
+        if before is not None:
+            return self.request.on_event(Refused(exc.code, exc.retry_after_s))
+        return self.request.on_event(Lost())
+
+    async def _run_and_give_back(self, placement: Placement, max_rows: int) -> Effect:
+        connection = placement.connection
+        self.running.connection = connection
+        answered = ok = False
+        try:
+            effect = await self._run(placement, max_rows)
+            answered = ok = True
+        except asyncpg.PostgresError as exc:
+            answered = True
+            self._error = exc
+            effect = self.request.on_event(Failed(exc.sqlstate or ""))
+            ok = isinstance(effect, Finish)
+        except CONNECTION_ERRORS:
+            effect = self.request.on_event(Lost())
+        finally:
+            self.running.connection = None
+            if not answered and self.request.stage is not Stage.WAITING:
+                run_aside(cancel_quietly(connection))
+            reusable = answered and not connection.in_transaction()
+            self._placer.done(placement, ok, reusable)
+        return effect
+
+    async def _run(self, placement: Placement, max_rows: int) -> Effect:
+        try:
+            return await self._prepare_and_send(placement, max_rows)
+        except (asyncpg.FeatureNotSupportedError, asyncpg.InvalidSQLStatementNameError):
+            connection = placement.connection
+            if connection.in_transaction() or not connection.forget_statements():
+                raise
+        return await self._prepare_and_send(placement, max_rows)
+
+    async def _prepare_and_send(self, placement: Placement, max_rows: int) -> Effect:
+        prepared = await prepare(placement.connection, self._work)
+        self.request.on_event(Sent(placement.target, placement.primary))
+        return await self._exchange(placement, prepared, max_rows)
+
+    async def _confirm_answer(self, placement: Placement) -> Effect:
+        try:
+            await self._confirm(placement)
+        except Refusal as exc:
+            return self.request.on_event(ConfirmFailed(exc.code))
+        return self.request.on_event(Confirmed())
+
+
+class WriteRun(Autocommit):
+    """Run a write; its answer is held back until a majority holds the write."""
+
+    kind = RequestKind.WRITE
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._prepared: Prepared | None = None
+        self._fetched: Fetched | None = None
+
+    async def _exchange(self, placement, prepared, max_rows) -> Effect:
+        self._prepared = prepared
+        self._fetched = await placement.connection.execute(prepared, self._work.params)
+        return self.request.on_event(Answered())
+
+    async def _confirm(self, placement: Placement) -> None:
+        position = await self._parts.group.acknowledge(
+            self._state.service, placement.target, placement.term, self._terms.deadline
+        )
+        self._placer.wrote(self._terms, position)
+
+    async def _deliver(self) -> Completion:
+        answer = self._work.answer
+        answer.columns(self._prepared.description.columns)
+        await answer.rows(self._fetched.rows)
+        return Completion(self._fetched.tag or "")
+
+
+class ReadRun(Autocommit):
+    """Run a read; a long answer is streamed from a portal, a short one gathered."""
+
+    kind = RequestKind.READ
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._prepared: Prepared | None = None
+        self._fetched = Fetched((), "")
+
+    async def _exchange(self, placement, prepared, max_rows) -> Effect:
+        connection = placement.connection
+        self._prepared = prepared
+        limit = max_rows or CHUNK_ROWS
+        async with asyncio.timeout(self._patience_s()):
+            fetched = await connection.execute(prepared, self._work.params, limit)
+        if fetched.tag is None and not max_rows:
+            return await self._stream(placement, prepared)
+        self._fetched = fetched
+        self._placer.read_at(placement)
+        return self.request.on_event(Answered())
+
+    def _patience_s(self) -> float | None:
+        """Return how long the first attempt waits before the connection is doubted."""
+        if self.request.attempts > 1:
+            return None
+        return self._parts.cfg.targets.silent_timeout_s
+
+    async def _stream(self, placement: Placement, prepared: Prepared) -> Effect:
+        """Read again, in chunks: what was read so far reached nobody."""
+        connection = placement.connection
+        await connection.command("BEGIN READ ONLY")
+        rows = RowStream(connection, prepared, self._work.params)
+        fetched = await rows.next(CHUNK_ROWS)
+        effect = self.request.on_event(Answered(complete=False))
+        if isinstance(effect, Confirm):
+            effect = await self._confirm_answer(placement)
+        if not isinstance(effect, Continue):
+            return effect
+        self._work.answer.columns(prepared.description.columns)
+        total = len(fetched.rows)
+        while fetched.tag is None:
+            self.request.on_event(Delivered())
+            await self._pass_on(fetched)
+            fetched = await rows.next(CHUNK_ROWS)
+            total += len(fetched.rows)
+        await connection.command("COMMIT")
+        self._placer.read_at(placement)
+        self._prepared = None
+        self._fetched = Fetched(fetched.rows, total_tag(fetched.tag, total))
+        return self.request.on_event(Answered())
+
+    async def _pass_on(self, fetched: Fetched) -> None:
+        await self._work.answer.rows(fetched.rows)
+        self.scope.reschedule(self._parts.timer.now() + _CHUNK_TIMEOUT_S)
+
+    async def _confirm(self, placement: Placement) -> None:
+        await self._parts.group.confirm_read(
+            self._state.service,
+            placement.target,
+            placement.term,
+            self._state.session.required,
+            self._terms.deadline,
+        )
+
+    async def _deliver(self) -> Completion:
+        answer = self._work.answer
+        if self._prepared is not None:
+            answer.columns(self._prepared.description.columns)
+        await answer.rows(self._fetched.rows)
+        tag = self._fetched.tag
+        return Completion(tag or "", suspended=tag is None)
--- /dev/null
+++ b/src/rosemaryridge/proxy/_parts.py
@@ -0,0 +1,122 @@
+"""Name the parts that serving a statement needs."""
+
+import collections
+import dataclasses
+import random
+import typing as t
+
+from rosemaryridge import codes
+from rosemaryridge.config import FaultSettings
+from rosemaryridge.config import ProxySettings
+from rosemaryridge.config import ServiceConfig
+from rosemaryridge.exceptions import Refusal
+from rosemaryridge.model import Position
+from rosemaryridge.pool import Pools
+from rosemaryridge.pool import RetryBudget
+from rosemaryridge.request import ServicePolicy
+from rosemaryridge.routing import Router
+from rosemaryridge.sql import StatementCache
+from rosemaryridge.telemetry import Metrics
+from rosemaryridge.timer import TimerService
+from rosemaryridge.wire import Description
+
+_STATEMENTS = 4096
+_DESCRIPTIONS = 4096
+
+
+class Group(t.Protocol):
+    """Know each service's primary and acknowledge what a majority holds."""
+
+    def view(self, service: str) -> t.Any:
+        """Return the newest view of a service's group."""
+
+    async def acknowledge(
+        self, service: str, target: str, term: int, deadline: float
+    ) -> Position:
+        """Return the position once a majority holds what was committed."""
+
+    async def confirm_read(
+        self,
+        service: str,
+        target: str,
+        term: int,
+        position: Position | None,
+        deadline: float,
+    ) -> None:
+        """Return once a majority confirmed the primary that was read."""
+
+    def suspect(self, service: str, target: str, reason: str) -> None:
+        """Take evidence against a target from the data path."""
+
+
+class Directory(t.Protocol):
+    """Remember what named sessions must see, across proxies."""
+
+    async def required(
+        self, service: str, session: str, view: t.Any
+    ) -> Position | None:
+        """Return the position to cover; None where nothing is known."""
+
+    def record(self, service: str, session: str, position: Position) -> None:
+        """Take in what a session has written or seen."""
+
+
+class DescriptionCache:
+    """Remember the types of the statements described last."""
+
+    def __init__(self, size: int = _DESCRIPTIONS):
+        self._size = size
+        self._entries: collections.OrderedDict[tuple, Description] = (
+            collections.OrderedDict()
+        )
+
+    def get(self, key: tuple) -> Description | None:
+        """Return what is known of a statement."""
+        return self._entries.get(key)
+
+    def put(self, key: tuple, description: Description) -> None:
+        """Remember a statement's types in place of the oldest."""
+        self._entries[key] = description
+        if len(self._entries) > self._size:
+            self._entries.popitem(last=False)
+
+    def forget(self, key: tuple) -> None:
+        """Forget a statement whose types changed."""
+        self._entries.pop(key, None)
+
+
+@dataclasses.dataclass(slots=True)
+class Parts:
+    """Hold the parts that serving a statement needs."""
+
+    cfg: ProxySettings
+    timer: TimerService
+    rng: random.Random
+    metrics: Metrics
+    pools: Pools
+    router: Router
+    group: Group
+    directory: Directory
+    budget: RetryBudget
+    statements: StatementCache = dataclasses.field(
+        default_factory=lambda: StatementCache(_STATEMENTS)
+    )
+    descriptions: DescriptionCache = dataclasses.field(default_factory=DescriptionCache)
+    policies: dict[str, ServicePolicy] = dataclasses.field(default_factory=dict)
+
+    @property
+    def faults(self) -> FaultSettings:
+        """Return the test-only fault switches."""
+        return self.cfg.faults
+
+    def policy(self, service: str) -> ServicePolicy:
+        """Return a service's policy in force; raise Refusal."""
+        policy = self.policies.get(service)
+        if policy is None:
+            text = f'database "{service}" does not exist'
+            raise Refusal(codes.caller.UNKNOWN_SERVICE, text)
+        return policy
+
+    def adopt(self, service: ServiceConfig) -> None:
+        """Take over a new or changed service."""
+        self.policies[service.name] = ServicePolicy(service)
--- /dev/null
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -0,0 +1,136 @@
+"""Choose the target of a request and get a connection to it."""
+
+import dataclasses
+
+from rosemaryridge.model import ORIGIN
+from rosemaryridge.model import Position
+from rosemaryridge.pool import PoolLease
+from rosemaryridge.proxy._caller_state import CallerState
+from rosemaryridge.proxy._caller_state import ReadMark
+from rosemaryridge.proxy._caller_state import Terms
+from rosemaryridge.proxy._parts import Parts
+from rosemaryridge.routing import Need
+from rosemaryridge.wire import TargetConnection
+
+
+@dataclasses.dataclass(slots=True)
+class Placement:
+    """Hold the target that was chosen, and the connection to it."""
+
+    target: str
+    term: int
+    primary: bool
+    started_at: float
+    lease: PoolLease
+
+    @property
+    def connection(self) -> TargetConnection:
+        """Return the connection."""
+        return self.lease.connection
+
+
+class Placer:
+    """Place one caller's requests so that it never goes back in time."""
+
+    def __init__(self, parts: Parts, state: CallerState):
+        self._parts = parts
+        self._state = state
+
+    async def place(
+        self, write: bool, terms: Terms, exclude: frozenset[str] = frozenset()
+    ) -> Placement:
+        """Return a connection to a fitting target; raise Refusal."""
+        parts, state = self._parts, self._state
+        view = parts.group.view(state.service)
+        need = await self._need(view, write, terms, exclude)
+        service = parts.policy(state.service).service
+        target = parts.router.choose(service, view, need, parts.timer.now())
+        term, primary = view.term, target == view.primary
+        lease = await parts.pools.acquire(
+            state.service, target, state.business, terms.priority, terms.deadline
+        )
+        try:
+            await self._prepare(lease.connection)
+        except BaseException:
+            lease.discard()
+            raise
+        parts.router.started(target)
+        return Placement(target, term, primary, parts.timer.now(), lease)
+
+    async def _need(self, view, write: bool, terms: Terms, exclude) -> Need:
+        if write:
+            return Need(write=True, exclude=exclude)
+        if self._parts.faults.ignore_token:
+            return Need(max_age_s=terms.max_age_s, exclude=exclude)
+        self._resolve_mark(view)
+        position = await self._required(view, terms)
+        if position is None:
+            return Need(write=True, exclude=exclude)
+        return Need(
+            position=position,
+            max_age_s=terms.max_age_s,
+            exclude=exclude | self._others(view),
+        )
+
+    async def _required(self, view, terms: Terms) -> Position | None:
+        own = self._state.session.required
+        if not terms.session:
+            return own
+        shared = await self._parts.directory.required(
+            self._state.service, terms.session, view
+        )
+        if shared is None:
+            return None if own == ORIGIN else own
+        return max(own, shared)
+
+    def _resolve_mark(self, view) -> None:
+        """Learn what the last read had seen at most, once its target tells."""
+        mark = self._state.mark
+        seen = view.statuses.get(mark.target) if mark else None
+        if seen is None or seen.seen_at < mark.at:
+            return
+        self._state.mark = None
+        self._state.session.observe(seen.status.applied)
+
+    def _others(self, view) -> frozenset[str]:
+        """Return the replicas that may lag behind what was read last."""
+        mark = self._state.mark
+        if mark is None:
+            return frozenset()
+        names = view.statuses.keys() - {mark.target, view.primary}
+        return frozenset(names)
+
+    async def _prepare(self, connection: TargetConnection) -> None:
+        """Give a connection the caller's own settings."""
+        wanted = self._state.variables
+        if connection.variables == wanted:
+            return
+        for name in connection.variables.keys() - wanted.keys():
+            await connection.command(f"RESET {name}")
+            del connection.variables[name]
+        for name, value in wanted.items():
+            if connection.variables.get(name) != value:
+                await connection.command(f"SET {name} = {value}")
+                connection.variables[name] = value
+
+    def read_at(self, placement: Placement) -> None:
+        """Note that a read was answered now."""
+        self._state.mark = ReadMark(placement.target, self._parts.timer.now())
+
+    def wrote(self, terms: Terms, position: Position) -> None:
+        """Note the position of a write that was acknowledged."""
+        self._state.session.observe(position)
+        if terms.session:
+            self._parts.directory.record(self._state.service, terms.session, position)
+
+    def done(self, placement: Placement, ok: bool, reusable: bool) -> None:
+        """Give the connection back, or close it."""
+        parts = self._parts
+        latency_s = parts.timer.now() - placement.started_at
+        parts.router.finished(placement.target, latency_s, ok)
+        connection = placement.connection
+        connection.notice_handler = None
+        if reusable or parts.faults.reuse_abandoned:
+            placement.lease.release()
+        else:
+            placement.lease.discard()
--- /dev/null
+++ b/src/rosemaryridge/proxy/_transaction.py
@@ -0,0 +1,311 @@
+"""Run a caller's transaction on one connection that is its own."""
+
+import asyncio
+import typing as t
+
+import asyncpg
+
+from rosemaryridge import codes
+from rosemaryridge.exceptions import Refusal
+from rosemaryridge.model import Outcome
+from rosemaryridge.proxy._attempt import CHUNK_ROWS
+from rosemaryridge.proxy._attempt import RowStream
+from rosemaryridge.proxy._attempt import Work
+from rosemaryridge.proxy._attempt import prepare
+from rosemaryridge.proxy._attempt import total_tag
+from rosemaryridge.proxy._caller_state import CallerState
+from rosemaryridge.proxy._caller_state import Terms
+from rosemaryridge.proxy._connect import CONNECTION_ERRORS
+from rosemaryridge.proxy._parts import Parts
+from rosemaryridge.proxy._placing import Placement
+from rosemaryridge.proxy._placing import Placer
+from rosemaryridge.proxy._running import Running
+from rosemaryridge.proxy._running import cancel_quietly
+from rosemaryridge.proxy._running import run_aside
+from rosemaryridge.request import Answered
+from rosemaryridge.request import Confirm
+from rosemaryridge.request import Confirmed
+from rosemaryridge.request import ConfirmFailed
+from rosemaryridge.request import DeadlinePassed
+from rosemaryridge.request import Effect
+from rosemaryridge.request import Failed
+from rosemaryridge.request import Finish
+from rosemaryridge.request import Lost
+from rosemaryridge.request import Request
+from rosemaryridge.request import RequestKind
+from rosemaryridge.request import Sent
+from rosemaryridge.wire import CallerPortal
+from rosemaryridge.wire import Completion
+from rosemaryridge.wire import Description
+
+_ROLLBACK_TIMEOUT_S = 2.0
+_Value = t.TypeVar("_Value")
+
+
+class Transaction:
+    """Pin a connection from the first statement to COMMIT or ROLLBACK.
+
+    It opens on a target only with its first statement. `implicit` marks the one
+    that PostgreSQL opens around a batch of statements.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        placer: Placer,
+        state: CallerState,
+        begin: str,
+        read_only: bool,
+        implicit: bool = False,
+    ):
+        self.begin = begin
+        self.read_only = read_only
+        self.implicit = implicit
+        self.failed = False
+        self.wrote = False
+        self.settings: dict[str, str | None] = {}
+        self.running: Running | None = None
+        self._parts = parts
+        self._placer = placer
+        self._state = state
+        self._preamble: list[str] = []
+        self._placement: Placement | None = None
+        self._lost = False
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether it runs on a target."""
+        return self._placement is not None
+
+    def set_mode(self, text: str, read_only: bool) -> None:
+        """Take in SET TRANSACTION before the first statement."""
+        self._preamble.append(text)
+        self.read_only = self.read_only or read_only
+
+    async def describe(self, text: str, terms: Terms) -> Description:
+        """Return a statement's types, from the transaction's own connection."""
+        work = Work(text, None, None, _TextAnswer())
+        prepared = await self._guard(
+            lambda: prepare(self._placement.connection, work), terms
+        )
+        return prepared.description
+
+    async def run(
+        self, portal: CallerPortal, work: Work, max_rows: int, terms: Terms, write: bool
+    ) -> Completion:
+        """Run a statement, or go on with one that was read in part."""
+        self.wrote = self.wrote or write
+        return await self._guard(
+            lambda: self._run(portal, work, max_rows, terms), terms
+        )
+
+    async def command(self, text: str, terms: Terms) -> str:
+        """Run a statement without rows, such as SAVEPOINT; return its tag."""
+        return await self._guard(
+            lambda: self._placement.connection.command(text), terms
+        )
+
+    async def _run(
+        self, portal: CallerPortal, work: Work, max_rows: int, terms: Terms
+    ) -> Completion:
+        rows = portal.source or await self._start(portal, work, max_rows)
+        limit = max_rows or (CHUNK_ROWS if rows.prepared.description.columns else 0)
+        fetched = await rows.next(limit)
+        await self._confirm_read_only(terms)
+        total = len(fetched.rows)
+        while fetched.tag is None and not max_rows:
+            await work.answer.rows(fetched.rows)
+            fetched = await rows.next(limit)
+            total += len(fetched.rows)
+        await work.answer.rows(fetched.rows)
+        if fetched.tag is None:
+            return Completion(suspended=True)
+        return Completion(total_tag(fetched.tag, total))
+
+    async def _start(
+        self, portal: CallerPortal, work: Work, max_rows: int
+    ) -> RowStream:
+        connection = self._placement.connection
+        prepared = await prepare(connection, work)
+        work.answer.columns(prepared.description.columns)
+        portal.source = RowStream(connection, prepared, work.params, max_rows > 0)
+        return portal.source
+
+    async def _confirm_read_only(self, terms: Terms) -> None:
+        """Keep answers of a replaced primary from a read-only transaction."""
+        placement = self._placement
+        if self.read_only and placement.primary:
+            await self._parts.group.confirm_read(
+                self._state.service,
+                placement.target,
+                placement.term,
+                self._state.session.required,
+                terms.deadline,
+            )
+
+    async def _open(self, terms: Terms) -> None:
+        if self._placement is not None:
+            return
+        if self._lost:
+            raise Refusal(codes.request.TRANSACTION_LOST)
+        placement = await self._placer.place(not self.read_only, terms)
+        self._placement = placement
+        for text in (self.begin, *self._preamble):
+            await placement.connection.command(text)
+
+    async def _guard(
+        self, step: t.Callable[[], t.Awaitable[_Value]], terms: Terms
+    ) -> _Value:
+        """Run one step; an error that ends the transaction gives the pin back."""
+        request = Request(RequestKind.IN_TRANSACTION)
+        self.running = Running(request)
+        try:
+            async with asyncio.timeout_at(terms.deadline) as scope:
+                self.running.scope = scope
+                return await self._step(step, terms, request)
+        except TimeoutError:
+            self._give_up()
+            finish = self.running.finish or request.on_event(DeadlinePassed())
+            raise Refusal(finish.code) from None
+        finally:
+            self.running = None
+
+    async def _step(self, step, terms: Terms, request: Request):
+        try:
+            await self._open(terms)
+            self._note_sent(request)
+            return await step()
+        except asyncpg.PostgresError as exc:
+            effect = request.on_event(Failed(exc.sqlstate or ""))
+            if effect.code is None:
+                raise
+            self._give_up()
+            raise Refusal(effect.code) from exc
+        except CONNECTION_ERRORS as exc:
+            self._give_up()
+            raise Refusal(request.on_event(Lost()).code) from exc
+
+    def _note_sent(self, request: Request) -> None:
+        placement = self._placement
+        self.running.connection = placement.connection
+        request.on_event(Sent(placement.target, placement.primary))
+
+    def _give_up(self) -> None:
+        """Close the connection; the target takes back what was not committed."""
+        self.failed = self._lost = True
+        self._state.last_outcome = Outcome.NOT_RUN
+        placement, self._placement = self._placement, None
+        if placement is not None:
+            run_aside(cancel_quietly(placement.connection))
+            self._placer.done(placement, ok=False, reusable=False)
+
+    async def rollback(self) -> None:
+        """End the transaction without its changes."""
+        placement, self._placement = self._placement, None
+        self._state.last_outcome = Outcome.NOT_RUN
+        if placement is None:
+            return
+        reusable = False
+        try:
+            async with asyncio.timeout(_ROLLBACK_TIMEOUT_S):
+                await placement.connection.command("ROLLBACK")
+            reusable = not placement.connection.in_transaction()
+        except (asyncpg.PostgresError, *CONNECTION_ERRORS):
+            pass
+        finally:
+            self._placer.done(placement, ok=reusable, reusable=reusable)
+
+    def abandon(self) -> None:
+        """Drop the transaction of a caller that has gone."""
+        if self._placement is not None:
+            self._give_up()
+
+    async def commit(self, text: str, terms: Terms) -> str:
+        """Commit and wait until a majority holds it; return the tag."""
+        if self._lost:
+            raise Refusal(codes.request.TRANSACTION_LOST)
+        if self._placement is None:
+            return "COMMIT"
+        request = Request(RequestKind.COMMIT)
+        self.running = Running(request)
+        try:
+            return await self._commit(text, terms, request)
+        finally:
+            self.running = None
+
+    async def _commit(self, text: str, terms: Terms, request: Request) -> str:
+        placement, self._placement = self._placement, None
+        tag, error = "", None
+        try:
+            async with asyncio.timeout_at(terms.deadline):
+                tag, effect, error = await self._send_commit(placement, text, request)
+                if isinstance(effect, Confirm):
+                    effect = await self._confirm_commit(placement, terms, tag)
+        except TimeoutError:
+            effect = request.on_event(DeadlinePassed())
+        else:
+            if isinstance(effect, Confirmed | ConfirmFailed):
+                effect = request.on_event(effect)
+        return self._conclude(effect, tag, error)
+
+    def _conclude(self, effect: Effect, tag: str, error) -> str:
+        finish = t.cast(Finish, effect)
+        self._state.last_outcome = finish.outcome
+        if finish.code is not None:
+            raise Refusal(finish.code)
+        if error is not None:
+            raise error
+        if tag == "ROLLBACK":
+            self._state.last_outcome = Outcome.NOT_RUN
+        return tag
+
+    async def _send_commit(self, placement: Placement, text: str, request: Request):
+        connection = placement.connection
+        reusable = False
+        tag, error = "", None
+        try:
+            if connection.is_closed():
+                return tag, request.on_event(Lost()), None
+            request.on_event(Sent(placement.target, placement.primary))
+            self.running.connection = connection
+            tag = await connection.command(text)
+            effect = request.on_event(Answered())
+            reusable = not connection.in_transaction()
+        except asyncpg.PostgresError as exc:
+            error = exc
+            effect = request.on_event(Failed(exc.sqlstate or ""))
+            reusable = not connection.in_transaction()
+        except CONNECTION_ERRORS:
+            effect = request.on_event(Lost())
+        finally:
+            self.running.connection = None
+            self._placer.done(placement, ok=reusable, reusable=reusable)
+        return tag, effect, error
+
+    async def _confirm_commit(self, placement: Placement, terms: Terms, tag: str):
+        group, service = self._parts.group, self._state.service
+        if tag == "ROLLBACK" or not placement.primary:
+            self._placer.read_at(placement)
+            return Confirmed()
+        try:
+            if self.wrote:
+                position = await group.acknowledge(
+                    service, placement.target, placement.term, terms.deadline
+                )
+                self._placer.wrote(terms, position)
+            else:
+                required = self._state.session.required
+                await group.confirm_read(
+                    service, placement.target, placement.term, required, terms.deadline
+                )
+                self._placer.read_at(placement)
+        except Refusal as exc:
+            return ConfirmFailed(exc.code)
+        return Confirmed()
+
+
+class _TextAnswer:
+    """Want every value as text; used where only types are asked for."""
+
+    def formats(self, count: int) -> tuple[int, ...]:
+        return (0,) * count
--- /dev/null
+++ b/src/rosemaryridge/wire/_scram.py
@@ -0,0 +1,126 @@
+"""Authenticate callers by SCRAM-SHA-256 with stored verifiers."""
+
+import base64
+import binascii
+import dataclasses
+import hashlib
+import hmac
+import os
+import re
+import typing as t
+
+import scramp
+from pg_mimic import messages
+from pg_mimic.auth import AuthPlugin
+from pg_mimic.auth import _set_client_first
+from pg_mimic.stream import PgStream
+
+MECHANISM = "SCRAM-SHA-256"
+_ITERATIONS = 4096
+_SALT_BYTES = 16
+_VERIFIER = re.compile(
+    r"SCRAM-SHA-256\$(?P<iterations>\d+):(?P<salt>[^$]+)"
+    r"\$(?P<stored>[^:]+):(?P<server>.+)\Z"
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verifier:
+    """Hold what proves a password without holding it."""
+
+    iterations: int
+    salt: bytes
+    stored_key: bytes
+    server_key: bytes
+
+    @classmethod
+    def parse(cls, text: str) -> "Verifier":
+        """Read a verifier as PostgreSQL stores it; raise ValueError."""
+        match = _VERIFIER.match(text)
+        if match is None:
+            raise ValueError("not a SCRAM-SHA-256 verifier")
+        try:
+            salt, stored, server = (
+                base64.b64decode(match[name], validate=True)
+                for name in ("salt", "stored", "server")
+            )
+        except binascii.Error as exc:
+            raise ValueError("not a SCRAM-SHA-256 verifier") from exc
+        return cls(int(match["iterations"]), salt, stored, server)
+
+    @classmethod
+    def of_password(
+        cls, password: str, salt: bytes | None = None, iterations: int = _ITERATIONS
+    ) -> "Verifier":
+        """Derive the verifier of a password (RFC 5802)."""
+        salt = salt or os.urandom(_SALT_BYTES)
+        salted = hashlib.pbkdf2_hmac("sha256", password.encode(), salt, iterations)
+        client_key = hmac.digest(salted, b"Client Key", "sha256")
+        stored_key = hashlib.sha256(client_key).digest()
+        server_key = hmac.digest(salted, b"Server Key", "sha256")
+        return cls(iterations, salt, stored_key, server_key)
+
+    def __str__(self) -> str:
+        salt, stored, server = (
+            base64.b64encode(part).decode()
+            for part in (self.salt, self.stored_key, self.server_key)
+        )
+        return f"{MECHANISM}${self.iterations}:{salt}${stored}:{server}"
+
+
+def unknown_verifier(user: str, secret: bytes) -> Verifier:
+    """Return a verifier that no password fits, stable for each unknown user.
+
+    It keeps callers from telling unknown users from wrong passwords.
+    """
+    salt = hmac.digest(secret, user.encode(), "sha256")[:_SALT_BYTES]
+    noise = hmac.digest(secret, salt, "sha256")
+    return Verifier(_ITERATIONS, salt, noise, noise)
+
+
+class VerifierAuth(AuthPlugin):
+    """Run one SCRAM exchange against a verifier."""
+
+    def __init__(self, verifier: Verifier):
+        self._verifier = verifier
+
+    async def authenticate(self, stream: PgStream, username, identity_provider) -> bool:
+        """Return whether the caller proved the password."""
+        verifier = self._verifier
+        server = scramp.ScramMechanism(MECHANISM).make_server(
+            lambda _: (
+                verifier.salt,
+                verifier.stored_key,
+                verifier.server_key,
+                verifier.iterations,
+            )
+        )
+        stream.write(messages.make_authentication_sasl([MECHANISM]))
+        await stream.drain()
+        try:
+            await self._exchange(stream, server)
+        except (scramp.ScramException, ValueError, IndexError):
+            return False
+        final = server.get_server_final().encode()
+        stream.write(messages.make_authentication_sasl_final(final))
+        await stream.drain()
+        return True
+
+    async def _exchange(self, stream: PgStream, server: t.Any) -> None:
+        payload = await _password_message(stream)
+        mechanism, client_first = messages.parse_sasl_initial_response(payload)
+        if mechanism != MECHANISM:
+            raise ValueError("another mechanism")
+        _set_client_first(server, client_first.decode())
+        first = server.get_server_first().encode()
+        stream.write(messages.make_authentication_sasl_continue(first))
+        await stream.drain()
+        payload = await _password_message(stream)
+        server.set_client_final(payload.decode())
+
+
+async def _password_message(stream: PgStream) -> bytes:
+    tag, payload = await stream.read_message()
+    if tag != messages.PASSWORD:
+        raise ValueError("not a password message")
+    return payload
