Call the object API within a budget and read lost answers back

A lost answer to a write says nothing about the write, and every call counts against rates that grow more slowly than the fleet. The HTTP library repeated a PUT by itself and then met its own version as a conflict; a body that can be sent only once prevents it. A test with a stand-in that loses an answer showed it and covers it.

--- a/src/rosemaryridge/config/__init__.py
+++ b/src/rosemaryridge/config/__init__.py
@@ -20,11 +20,11 @@
 from rosemaryridge.config._settings import LogSettings
 from rosemaryridge.config._settings import MembershipSettings
 from rosemaryridge.config._settings import PeersSettings
-from rosemaryridge.config._settings import PlatformSettings
 from rosemaryridge.config._settings import PoolSettings
 from rosemaryridge.config._settings import ProxySettings
 from rosemaryridge.config._settings import ServicesSettings
 from rosemaryridge.config._settings import TargetsSettings
+from rosemaryridge.platform import PlatformSettings
 
 __all__ = [
     "AccountConfig",
--- a/src/rosemaryridge/config/_settings.py
+++ b/src/rosemaryridge/config/_settings.py
@@ -10,6 +10,7 @@
 from rosemaryridge.fields import setting
 from rosemaryridge.model import Endpoint
 from rosemaryridge.peer import BusSettings
+from rosemaryridge.platform import PlatformSettings
 from rosemaryridge.telemetry import LogLevel
 
 _KIB = 1024
@@ -52,18 +53,6 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlatformSettings:
-    """Call the platform's object API."""
-
-    base_url: Name = setting(doc="Base URL, such as http://10.0.0.5:8080.")
-    connect_timeout_s: Seconds = setting(1.0, "Time to open a connection.")
-    timeout_s: Seconds = setting(3.0, "Time for one call, a watch's wait aside.")
-    calls_per_s: Positive = setting(20, "Calls a second that the process may make.")
-    call_burst: Positive = setting(40, "Calls that it may make at once.")
-    watch_wait_s: Seconds = setting(30.0, "Longest wait of one watch.")
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServicesSettings:
     """Follow the published services."""
--- a/src/rosemaryridge/exceptions.py
+++ b/src/rosemaryridge/exceptions.py
@@ -41,11 +41,27 @@
 class StoreConflict(StoreError):
     """Report that an object's version was not the expected one."""
 
+    def __init__(self, message: str, version: int = 0):
+        super().__init__(message)
+        self.version = version
+
 
 class StoreUnavailable(StoreError):
     """Report that the object API gave no answer; the change may have been made."""
 
 
+class StoreLimited(StoreUnavailable):
+    """Report that a rate or call budget is spent; the call did not run."""
+
+    def __init__(self, message: str, retry_after_s: float):
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
+class StoreRefused(StoreError):
+    """Report that the object API does not take a call, such as too large a value."""
+
+
 class PeerUnavailable(RosemaryridgeError):
     """Report that a peer could not be reached or did not answer in time."""
 
--- a/src/rosemaryridge/platform/__init__.py
+++ b/src/rosemaryridge/platform/__init__.py
@@ -3,5 +3,19 @@
 from rosemaryridge.platform._api import ObjectStore
 from rosemaryridge.platform._api import StoredObject
 from rosemaryridge.platform._api import VmRecord
+from rosemaryridge.platform._budget import CallBudget
+from rosemaryridge.platform._confirm import put_confirmed
+from rosemaryridge.platform._http import MAX_VALUE_BYTES
+from rosemaryridge.platform._http import HttpObjectStore
+from rosemaryridge.platform._settings import PlatformSettings
 
-__all__ = ["ObjectStore", "StoredObject", "VmRecord"]
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "CallBudget",
+    "HttpObjectStore",
+    "ObjectStore",
+    "PlatformSettings",
+    "StoredObject",
+    "VmRecord",
+    "put_confirmed",
+]
--- a/src/rosemaryridge_testbed/platform/__init__.py
+++ b/src/rosemaryridge_testbed/platform/__init__.py
@@ -1,5 +1,6 @@
 """Stand in for the platform's object API."""
 
+from rosemaryridge_testbed.platform._server import Platform
 from rosemaryridge_testbed.platform._server import PlatformOptions
 from rosemaryridge_testbed.platform._server import run_platform
 from rosemaryridge_testbed.platform._store import Conflict
@@ -10,6 +11,7 @@
 __all__ = [
     "Conflict",
     "Item",
+    "Platform",
     "PlatformOptions",
     "Store",
     "TooLarge",
