--- a/src/rosemaryridge/config/_settings.py
+++ b/src/rosemaryridge/config/_settings.py
@@ -83,11 +83,36 @@
 class GroupSettings:
     """Watch database groups and replace a failed primary."""
 
-    poll_period_s: Seconds = setting(0.2, "Time between two status polls.")
-    status_timeout_s: Seconds = setting(0.5, "Time for a status answer.")
-    suspicion_s: Seconds = setting(1.0, "Silence after which a primary is suspected.")
-    jitter: Share = setting(0.2, "Share by which periods vary.")
-    lease_s: Seconds = setting(2.0, "Time that a confirmed primary is trusted.")
+    poll_period_s: Seconds = setting(0.25, "Time between two status polls.")
+    retry_period_s: Seconds = setting(0.1, "Time between polls of a silent target.")
+    status_timeout_s: Seconds = setting(0.3, "Time for a target to answer a verb.")
+    jitter: Share = setting(0.1, "Share by which periods vary.")
+    suspicion_s: Seconds = setting(0.4, "Silence after which a primary is suspected.")
+    report_ttl_s: Seconds = setting(1.0, "Time that another proxy's report counts.")
+    isolation_s: Seconds = setting(
+        1.0, "Time without replicas after which a reachable primary is replaced."
+    )
+    takeover_step_s: Seconds = setting(
+        0.15, "Pause that each rank of watchers waits before it takes over."
+    )
+    takeover_timeout_s: Seconds = setting(
+        0.6, "Time for one takeover, after which another watcher begins."
+    )
+    repair_s: Seconds = setting(
+        2.0, "Time that a target may stay out of the current term."
+    )
+    pause_s: Seconds = setting(
+        0.5, "Lateness of a timer that tells of a pause of this process."
+    )
+    delta_period_s: Seconds = setting(
+        0.25, "Time between two messages about a group to proxies that do not watch."
+    )
+    interest_s: Seconds = setting(
+        5.0, "Time that a group is polled after its last use by a proxy."
+    )
+    acknowledge_pace_s: Seconds = setting(
+        0.003, "Pause between two polls for the same waiting write."
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
