Borrow connections from a grantor that the store's object names

Cause: a fixed share of a target's connections leaves idle what another proxy needs, and a dead proxy's part must come free without passing the limit. Change: half of a target's connections are base shares by the fleet's size, the rest is lent by one proxy, in one message for all targets. A lease takes no new work some seconds before it ends and cuts what is left at its end. Without the store or the grantor each proxy keeps its base share. Pools.adopt takes the fleet's size from the settings, since a count of live proxies can differ from one proxy to another.

--- a/src/rosemaryridge/config/_settings.py
+++ b/src/rosemaryridge/config/_settings.py
@@ -138,15 +138,37 @@
     business_active_s: Seconds = setting(
         5.0, "Time for which a business counts as active after a request."
     )
+    base_ratio: Share = setting(
+        0.5, "Part of the connections that is shared out for good; the rest is lent."
+    )
+    lease_s: Seconds = setting(10.0, "Time for which connections are lent.")
+    lease_renew_s: Seconds = setting(3.0, "Time between two renewals of a lease.")
+    lease_hurry_s: Seconds = setting(0.25, "That time while requests wait.")
+    lease_linger_s: Seconds = setting(
+        4.0, "Time before a lease ends from which it takes no new work."
+    )
+    reign_s: Seconds = setting(20.0, "Time for which one proxy is the grantor.")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembershipSettings:
     """Know which proxies and targets are live or leaving."""
 
-    heartbeat_period_s: Seconds = setting(1.0, "Time between two heartbeats.")
-    silent_timeout_s: Seconds = setting(5.0, "Silence after which a peer is doubted.")
-    vms_period_s: Seconds = setting(2.0, "Time between two reads of the VM list.")
+    full_mesh: Positive = setting(24, "Members up to which every pair keeps a stream.")
+    neighbours: Positive = setting(4, "Streams that each member chooses beyond that.")
+    tick_s: Seconds = setting(0.25, "Time between two checks of doubts.")
+    doubt_s: Seconds = setting(1.0, "Time without a stream to doubt a neighbour.")
+    confirm_s: Seconds = setting(
+        3.0, "Time after which a doubted member that says nothing is taken for dead."
+    )
+    redoubt_s: Seconds = setting(10.0, "Time between two doubts of one member.")
+    digest_s: Seconds = setting(10.0, "Time between two comparisons with a peer.")
+    rejoin_s: Seconds = setting(1.0, "Time between two contacts while alone.")
+    forget_s: Seconds = setting(7200.0, "Time for which a dead member is kept.")
+    vms_period_s: Seconds = setting(2.0, "Least time between two reads of the list.")
+    vms_calls_per_s: Positive = setting(
+        8, "Reads of the VM list that the whole fleet may make in a second."
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/rosemaryridge/membership/__init__.py
+++ b/src/rosemaryridge/membership/__init__.py
@@ -2,6 +2,6 @@
 
 from rosemaryridge.membership._member import Member
 from rosemaryridge.membership._service import Membership
-from rosemaryridge.membership._settings import MembershipTuning
+from rosemaryridge.membership._settings import MembershipSettings
 
-__all__ = ["Member", "Membership", "MembershipTuning"]
+__all__ = ["Member", "Membership", "MembershipSettings"]
--- a/src/rosemaryridge/membership/_service.py
+++ b/src/rosemaryridge/membership/_service.py
@@ -15,7 +15,7 @@
 from rosemaryridge.membership._messages import MembershipDigest
 from rosemaryridge.membership._messages import MemberState
 from rosemaryridge.membership._placement import Placement
-from rosemaryridge.membership._settings import MembershipTuning
+from rosemaryridge.membership._settings import MembershipSettings
 from rosemaryridge.membership._table import MemberTable
 from rosemaryridge.membership._vms import VmList
 from rosemaryridge.model import Endpoint
@@ -36,7 +36,7 @@
 
     def __init__(
         self,
-        cfg: MembershipTuning,
+        cfg: MembershipSettings,
         timer: TimerService,
         rng: random.Random,
         identity: PeerIdentity,
--- a/src/rosemaryridge/membership/_vms.py
+++ b/src/rosemaryridge/membership/_vms.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from rosemaryridge.exceptions import StoreError
-from rosemaryridge.membership._settings import MembershipTuning
+from rosemaryridge.membership._settings import MembershipSettings
 from rosemaryridge.model import Endpoint
 from rosemaryridge.platform import ObjectStore
 from rosemaryridge.platform import VmRecord
@@ -23,7 +23,7 @@
 
     def __init__(
         self,
-        cfg: MembershipTuning,
+        cfg: MembershipSettings,
         timer: TimerService,
         rng: random.Random,
         store: ObjectStore,
--- a/src/rosemaryridge/pool/__init__.py
+++ b/src/rosemaryridge/pool/__init__.py
@@ -3,8 +3,10 @@
 from rosemaryridge.pool._connections import Check
 from rosemaryridge.pool._connections import Connect
 from rosemaryridge.pool._connections import TargetConnection
+from rosemaryridge.pool._lease_service import LeaseService
 from rosemaryridge.pool._pools import Pools
 from rosemaryridge.pool._pools import base_share
+from rosemaryridge.pool._pools import lendable
 from rosemaryridge.pool._retry import RetryBudget
 from rosemaryridge.pool._settings import PoolSettings
 from rosemaryridge.pool._target import PoolLease
@@ -12,10 +14,12 @@
 __all__ = [
     "Check",
     "Connect",
+    "LeaseService",
     "PoolLease",
     "PoolSettings",
     "Pools",
     "RetryBudget",
     "TargetConnection",
     "base_share",
+    "lendable",
 ]
--- a/src/rosemaryridge/pool/_holder.py
+++ b/src/rosemaryridge/pool/_holder.py
@@ -42,10 +42,14 @@
         """Return when the lease of a target ends."""
         return self._leases.get(key, _NONE).until
 
-    def keys(self) -> tuple[Key, ...]:
+    def held(self) -> tuple[Key, ...]:
         """Return the targets with a lease that was not given back."""
         return tuple(key for key, lease in self._leases.items() if lease.units)
 
+    def forget(self, key: Key) -> None:
+        """Drop a lease that has ended."""
+        self._leases.pop(key, None)
+
     def request(self, wanted: dict[Key, int], now: float) -> LeaseRequest:
         """Return the next request; what is not wanted any more is given back."""
         self._number += 1
--- a/src/rosemaryridge/pool/_pools.py
+++ b/src/rosemaryridge/pool/_pools.py
@@ -24,9 +24,16 @@
 Key = tuple[str, str]
 
 
-def base_share(target: TargetConfig, proxies: int, reserved: int) -> int:
-    """Return the connections to a target that each of some proxies may always use."""
-    return max(1, (target.max_connections - reserved) // max(1, proxies))
+def base_share(cfg: PoolSettings, target: TargetConfig) -> int:
+    """Return the connections to a target that each proxy may always use."""
+    total = max(0, target.max_connections - cfg.reserved_connections)
+    return int(total * cfg.base_ratio) // cfg.fleet_size
+
+
+def lendable(cfg: PoolSettings, target: TargetConfig) -> int:
+    """Return the connections to a target that are no proxy's base share."""
+    total = max(0, target.max_connections - cfg.reserved_connections)
+    return total - cfg.fleet_size * base_share(cfg, target)
 
 
 class Pools:
@@ -48,24 +55,52 @@
         self._check = check
         self._metrics = metrics
         self._pools: dict[Key, TargetPool] = {}
+        self._leased: dict[Key, int] = {}
         self._waiters = itertools.count()
         self._sweep = timer.every(_SWEEP_PERIOD_S, self._close_stale, 0.5, rng)
 
-    def adopt(self, service: ServiceConfig, live_proxies: int) -> None:
-        """Take over a new or changed service, shared among `live_proxies`."""
+    def adopt(self, service: ServiceConfig) -> None:
+        """Take over a new or changed service."""
         for target in service.targets:
-            limit = base_share(target, live_proxies, self._cfg.reserved_connections)
+            leased = self._leased.get((service.name, target.name), 0)
+            limit = base_share(self._cfg, target) + leased
             self._adopt_target(service, target, limit)
         names = {target.name for target in service.targets}
         for key in [k for k in self._pools if k[0] == service.name]:
             if key[1] not in names:
                 self._pools.pop(key).close_idle()
 
-    def resize(self, service: str, target: str, limit: int) -> None:
-        """Set how many connections to a target this proxy may have open."""
-        pool = self._pools.get((service, target))
+    def set_leased(self, key: Key, units: int) -> None:
+        """Set how many connections to a target are leased for new work."""
+        self._leased[key] = units
+        pool = self._pools.get(key)
+        if pool is not None:
+            pool.resize(base_share(self._cfg, pool.target) + units)
+
+    def enforce(self, key: Key, units: int) -> None:
+        """Cut the connections in use beyond the base share and a lease."""
+        pool = self._pools.get(key)
         if pool is not None:
-            pool.resize(limit)
+            pool.enforce(base_share(self._cfg, pool.target) + units)
+
+    def wanted(self) -> dict[Key, int]:
+        """Return the connections beyond the base share that recent work needs."""
+        found = {}
+        for key, pool in self._pools.items():
+            most = lendable(self._cfg, pool.target)
+            peak = pool.slots.take_peak() - base_share(self._cfg, pool.target)
+            if peak > 0 and most > 0:
+                found[key] = min(peak, most)
+        return found
+
+    def starving(self) -> bool:
+        """Return whether requests wait for a slot."""
+        return any(pool.slots.waiting for pool in self._pools.values())
+
+    def lendable(self, key: Key) -> int:
+        """Return the connections to a target that can be lent, 0 if unknown."""
+        pool = self._pools.get(key)
+        return lendable(self._cfg, pool.target) if pool else 0
 
     def pool(self, service: str, target: str) -> TargetPool:
         """Return the pool of one target; raise Refusal where it is unknown."""
--- a/src/rosemaryridge/pool/_slots.py
+++ b/src/rosemaryridge/pool/_slots.py
@@ -14,6 +14,7 @@
 _MIN_RETRY_AFTER_S = 0.05
 _HOLD_WEIGHT = 0.1
 _FIRST_HOLD_S = 0.005
+_PEAK_KEPT = 0.7
 _DEFAULT = BusinessConfig("")
 
 
@@ -54,6 +55,7 @@
     def __init__(self, limit: int, active_s: float, rng: random.Random):
         self.limit = limit
         self.busy = 0
+        self.peak = 0
         self.hold_s = _FIRST_HOLD_S
         self._active_s = active_s
         self._rng = rng
@@ -86,7 +88,9 @@
         effects = self._make_room(business, entry)
         if not any(effect.waiter == entry.waiter for effect in effects):
             business.queue.push(entry)
-        return effects + self._grant(now)
+        effects += self._grant(now)
+        self.peak = max(self.peak, self.busy + self.waiting)
+        return effects
 
     def leave(self, business: str, hold_s: float | None, now: float) -> list[Effect]:
         """Give a slot back after `hold_s` of use, None where it was not used."""
@@ -119,6 +123,12 @@
         drain_s = self.waiting * self.hold_s / max(1, self.limit)
         return max(_MIN_RETRY_AFTER_S, drain_s) * (1.0 + 0.5 * self._rng.random())
 
+    def take_peak(self) -> int:
+        """Return the most that ran and waited at once, recent peaks fading."""
+        peak = max(self.peak, self.busy + self.waiting)
+        self.peak = int(peak * _PEAK_KEPT)
+        return peak
+
     def guaranteed(self, name: str) -> int:
         """Return how many slots a business can always have here."""
         business = self._business(name)
--- a/src/rosemaryridge/pool/_target.py
+++ b/src/rosemaryridge/pool/_target.py
@@ -48,6 +48,7 @@
     def _end(self) -> bool:
         first = not self._done
         self._done = True
+        self._pool.ended(self)
         return first
 
 
@@ -83,6 +84,7 @@
         self._metrics = metrics
         self._idle: list[_Idle] = []
         self._closing: set[asyncio.Task[None]] = set()
+        self._leases: dict[int, PoolLease] = {}
         self._granting: dict[object, asyncio.Future[None]] = {}
         self.adopt(service, target, limit)
 
@@ -115,7 +117,21 @@
         except BaseException:
             self._leave(entry.business, None)
             raise
-        return PoolLease(self, entry.business, connection)
+        lease = PoolLease(self, entry.business, connection)
+        self._leases[id(lease)] = lease
+        return lease
+
+    def enforce(self, limit: int) -> None:
+        """Cut the connections in use beyond a limit, the newest first."""
+        self.resize(min(limit, self.slots.limit))
+        excess = self.slots.busy - limit
+        if excess > 0:
+            for lease in list(self._leases.values())[-excess:]:
+                lease.connection.terminate()
+
+    def ended(self, lease: PoolLease) -> None:
+        """Forget a lease that has ended."""
+        self._leases.pop(id(lease), None)
 
     def take_back(
         self, connection: TargetConnection, business: str, since: float
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -1,12 +1,12 @@
 """Hold the settings of one proxy and wire its parts."""
 
 import asyncio
+import dataclasses
 import random
 
 from rosemaryridge.config import ProxySettings
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.pool import Pools
-from rosemaryridge.pool import PoolSettings
 from rosemaryridge.pool import RetryBudget
 from rosemaryridge.proxy._connect import Connector
 from rosemaryridge.proxy._factory import SessionFactory
@@ -40,7 +40,7 @@
         self.group = InterimGroup(self.timer, self.port)
         self.directory = InterimDirectory()
         self.pools = Pools(
-            PoolSettings(),
+            dataclasses.replace(cfg.pool, fleet_size=1),
             self.timer,
             self.rng,
             self.connector.open,
@@ -78,7 +78,7 @@
     def adopt(self, service: ServiceConfig) -> None:
         """Take over a new or changed service, in the parts' order."""
         self.group.adopt(service)
-        self.pools.adopt(service, 1)
+        self.pools.adopt(service)
         self.budget.adopt(service)
         self.parts.adopt(service)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,3 +1,4 @@
+import asyncio
 import random
 import unittest
 
@@ -7,7 +8,7 @@
 
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.membership import Membership
-from rosemaryridge.membership import MembershipTuning
+from rosemaryridge.membership import MembershipSettings
 from rosemaryridge.membership._messages import Doubt
 from rosemaryridge.membership._messages import MemberRecord
 from rosemaryridge.membership._messages import MemberState
@@ -20,7 +21,7 @@
 from rosemaryridge_testbed.virtual import VirtualStore
 
 DOMAINS = ("suva", "labasa", "lakeba")
-CFG = MembershipTuning()
+CFG = MembershipSettings()
 LEAVING_SPREAD_S = 3.0
 
 
@@ -149,7 +150,8 @@
 
 
 class MembershipTest(unittest.IsolatedAsyncioTestCase):
-    def setUp(self):
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
         self.timer = ManualTimer()
         self.network = VirtualNetwork(self.timer, random.Random(1), 0.0015)
         self.store = VirtualStore()
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -33,7 +33,7 @@
     (TARGET,),
     businesses=(BusinessConfig("claims", 0.5), BusinessConfig("listings", 0.5)),
 )
-CFG = PoolSettings(reserved_connections=3, open_gap_s=0.0)
+CFG = PoolSettings(fleet_size=2, base_ratio=1.0, reserved_connections=3, open_gap_s=0.0)
 
 
 def entry(waiter, business="claims", priority=Priority.NORMAL, deadline=10.0):
@@ -195,7 +195,7 @@
         self.pools = Pools(
             CFG, self.timer, random.Random(1), self.connect, Metrics(), self.check
         )
-        self.pools.adopt(SERVICE, 2)
+        self.pools.adopt(SERVICE)
 
     async def connect(self, target, service):
         await asyncio.sleep(0)
@@ -274,11 +274,24 @@
         leases[1].release()
         self.assertEqual(self.pools.pool("exchange", "t1").slots.busy, 0)
 
+    async def test_leases_add_to_the_base_share_and_are_enforced(self):
+        key = ("exchange", "t1")
+        self.pools.set_leased(key, 1)
+        leases = [await self.acquire() for _ in range(3)]
+        self.pools.set_leased(key, 0)
+        self.assertFalse(any(one.closed for one in self.opened))
+        self.pools.enforce(key, 0)
+        self.assertEqual([one.closed for one in self.opened], [False, False, True])
+        for lease in leases:
+            lease.discard()
+        await self.settle()
+        self.assertEqual(self.pools.pool(*key).open_connections, 0)
+
     async def test_smaller_share_closes_idle_connections(self):
         leases = [await self.acquire() for _ in range(2)]
         for lease in leases:
             lease.release()
-        self.pools.resize("exchange", "t1", 1)
+        self.pools.pool("exchange", "t1").resize(1)
         await self.settle()
         self.assertEqual(self.pools.pool("exchange", "t1").open_connections, 1)
         self.assertEqual([conn.closed for conn in self.opened].count(True), 1)
