Launch fleets of stand-ins and proxies, and drive them as callers do

A fleet is a platform, targets, proxies and the links between them, as processes that end with it. Callers with roaming sessions record every outcome for the checker.

--- /dev/null
+++ b/src/rosemaryridge_testbed/fleet/__init__.py
@@ -0,0 +1,21 @@
+"""Start a platform, targets, a faulty network and proxies as processes."""
+
+from rosemaryridge_testbed.fleet._fleet import Fleet
+from rosemaryridge_testbed.fleet._options import BUSINESS
+from rosemaryridge_testbed.fleet._options import PASSWORD
+from rosemaryridge_testbed.fleet._options import SERVICE
+from rosemaryridge_testbed.fleet._options import USER
+from rosemaryridge_testbed.fleet._options import FleetOptions
+from rosemaryridge_testbed.fleet._options import Latencies
+from rosemaryridge_testbed.fleet._wait import eventually
+
+__all__ = [
+    "BUSINESS",
+    "PASSWORD",
+    "SERVICE",
+    "USER",
+    "Fleet",
+    "FleetOptions",
+    "Latencies",
+    "eventually",
+]
--- /dev/null
+++ b/src/rosemaryridge_testbed/fleet/_processes.py
@@ -0,0 +1,87 @@
+"""Start processes and end them by their ids."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import typing as t
+
+import rosemaryridge
+
+_END_S = 5.0
+
+
+def free_ports(names: t.Iterable[str]) -> dict[str, int]:
+    """Return a free port for each name."""
+    held = {name: socket.socket() for name in names}
+    for each in held.values():
+        each.bind(("127.0.0.1", 0))
+    ports = {name: each.getsockname()[1] for name, each in held.items()}
+    for each in held.values():
+        each.close()
+    return ports
+
+
+class Processes:
+    """Own named processes; their output goes to files in a directory."""
+
+    def __init__(self, directory: pathlib.Path):
+        self._directory = directory
+        self._running: dict[str, subprocess.Popen] = {}
+        self._commands: dict[str, tuple[str, ...]] = {}
+
+    def start(self, name: str, module: str, *args: str) -> None:
+        """Start a module of the package."""
+        self._commands[name] = (module, *args)
+        self.restart(name)
+
+    def restart(self, name: str) -> None:
+        """Start a process again that has ended."""
+        module, *args = self._commands[name]
+        source = pathlib.Path(rosemaryridge.__file__).parents[1]
+        environ = {**os.environ, "PYTHONPATH": str(source)}
+        with self.log(name).open("ab") as output:
+            self._running[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *args],
+                env=environ,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    def log(self, name: str) -> pathlib.Path:
+        """Return the file of a process's output."""
+        return self._directory / f"{name}.log"
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self._running[name].send_signal(number)
+
+    def exit_status(self, name: str) -> int | None:
+        """Return the exit status, None while the process runs."""
+        return self._running[name].poll()
+
+    def dead(self) -> list[str]:
+        """Return the processes that have ended by themselves."""
+        return [name for name, proc in self._running.items() if proc.poll() is not None]
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        proc = self._running[name]
+        proc.kill()
+        proc.wait(_END_S)
+
+    def end_all(self) -> None:
+        """End every process, at once where it does not end by itself."""
+        for proc in self._running.values():
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.terminate()
+        for proc in self._running.values():
+            try:
+                proc.wait(_END_S)
+            except subprocess.TimeoutExpired:
+                proc.kill()
+                proc.wait(_END_S)
--- /dev/null
+++ b/src/rosemaryridge_testbed/fleet/_wait.py
@@ -0,0 +1,39 @@
+"""Wait for conditions instead of for times."""
+
+import asyncio
+import inspect
+import time
+import typing as t
+
+import aiohttp
+import asyncpg
+
+_POLL_S = 0.02
+_NOT_YET = (
+    OSError,
+    aiohttp.ClientError,
+    asyncpg.InterfaceError,
+    asyncpg.PostgresError,
+)
+
+
+async def eventually(
+    condition: t.Callable[[], t.Any], timeout_s: float = 30.0, what: str = ""
+) -> t.Any:
+    """Return the condition's first true value; raise TimeoutError.
+
+    A lost or refused connection counts as not yet true.
+    """
+    end = time.monotonic() + timeout_s
+    last: t.Any = None
+    while time.monotonic() < end:
+        try:
+            last = condition()
+            if inspect.isawaitable(last):
+                last = await last
+        except _NOT_YET as exc:
+            last = exc
+        if last and not isinstance(last, Exception):
+            return last
+        await asyncio.sleep(_POLL_S)
+    raise TimeoutError(f"{what or condition}: {last!r} after {timeout_s} s")
--- /dev/null
+++ b/src/rosemaryridge_testbed/load/__init__.py
@@ -0,0 +1,17 @@
+"""Drive a fleet as callers do, and record what they see."""
+
+from rosemaryridge_testbed.load._caller import Caller
+from rosemaryridge_testbed.load._load import Load
+from rosemaryridge_testbed.load._load import LoadOptions
+from rosemaryridge_testbed.load._load import create_table
+from rosemaryridge_testbed.load._load import final_rows
+from rosemaryridge_testbed.load._recorder import Recorder
+
+__all__ = [
+    "Caller",
+    "Load",
+    "LoadOptions",
+    "Recorder",
+    "create_table",
+    "final_rows",
+]
--- /dev/null
+++ b/src/rosemaryridge_testbed/load/_caller.py
@@ -0,0 +1,172 @@
+"""Be one caller with a session that roams between proxies."""
+
+import asyncio
+import re
+import time
+import typing as t
+
+import asyncpg
+
+from rosemaryridge.model import Outcome
+from rosemaryridge_testbed.fleet import Fleet
+from rosemaryridge_testbed.history import Read
+from rosemaryridge_testbed.history import Row
+from rosemaryridge_testbed.history import Write
+from rosemaryridge_testbed.load._recorder import Recorder
+
+INSERT = "INSERT INTO entry (session, key, part) VALUES ($1, $2, $3)"
+SELECT = "SELECT session, key FROM entry WHERE session = $1"
+
+_OUTCOME = re.compile(r"outcome: ([a-z ]+)")
+_UNKNOWN_STATES = ("40003", "57P01", "57014")
+_LOST = (OSError, asyncpg.InterfaceError, TimeoutError)
+
+
+def outcome_of(exc: BaseException) -> Outcome:
+    """Return what an error says about its statement."""
+    if not isinstance(exc, asyncpg.PostgresError):
+        return Outcome.UNKNOWN
+    said = _OUTCOME.search(exc.detail or "")
+    if said:
+        return Outcome(said[1].strip())
+    state = exc.sqlstate or "08"
+    unknown = state.startswith("08") or state in _UNKNOWN_STATES
+    return Outcome.UNKNOWN if unknown else Outcome.NOT_RUN
+
+
+class Caller:
+    """Write and read one session's rows; record every outcome.
+
+    `settings` are sent when a connection opens, such as `rosemaryridge.session`.
+    With `carry_token` the token goes from each answer to the next proxy.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        recorder: Recorder,
+        session: str,
+        settings: t.Mapping[str, str] | None = None,
+        carry_token: bool = False,
+        timeout_s: float = 6.0,
+    ):
+        self.session = session
+        self._fleet = fleet
+        self._recorder = recorder
+        self._settings = dict(settings or {})
+        self._carry_token = carry_token
+        self._timeout_s = timeout_s
+        self._conns: dict[str, asyncpg.Connection] = {}
+        self._token = ""
+        self._written = 0
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for conn in self._conns.values():
+            conn.terminate()
+        self._conns.clear()
+
+    async def connection(self, vm: str) -> asyncpg.Connection:
+        """Return the open connection to a proxy, or a new one."""
+        conn = self._conns.get(vm)
+        if conn is None or conn.is_closed():
+            conn = await self._fleet.connect(
+                vm, server_settings=self._settings, timeout=self._timeout_s
+            )
+            self._conns[vm] = conn
+        return conn
+
+    def drop(self, vm: str) -> None:
+        """Close the connection to a proxy."""
+        conn = self._conns.pop(vm, None)
+        if conn is not None:
+            conn.terminate()
+
+    async def write(self, vm: str, rows: int = 1) -> Outcome:
+        """Write one key through a proxy and record how it ended."""
+        self._written += 1
+        key = f"{self.session}-{self._written}"
+        started = time.monotonic()
+        outcome = await self._try_write(vm, key, rows)
+        ended = time.monotonic()
+        self._recorder.writes.append(
+            Write(self.session, key, started, ended, outcome, rows)
+        )
+        if outcome is Outcome.DONE:
+            await self._take_token(vm)
+        return outcome
+
+    async def _try_write(self, vm: str, key: str, rows: int) -> Outcome:
+        try:
+            conn = await self._ready(vm)
+        except (*_LOST, asyncpg.PostgresError) as exc:
+            self._give_up(vm, exc)
+            return Outcome.NOT_RUN
+        if rows > 1:
+            return await self._transaction(vm, conn, key, rows)
+        try:
+            await conn.execute(INSERT, self.session, key, 1, timeout=self._timeout_s)
+        except (*_LOST, asyncpg.PostgresError) as exc:
+            self._give_up(vm, exc)
+            return outcome_of(exc)
+        return Outcome.DONE
+
+    async def _transaction(
+        self, vm: str, conn: asyncpg.Connection, key: str, rows: int
+    ) -> Outcome:
+        try:
+            await conn.execute("BEGIN", timeout=self._timeout_s)
+            for part in range(rows):
+                args = (self.session, key, part + 1)
+                await conn.execute(INSERT, *args, timeout=self._timeout_s)
+        except (*_LOST, asyncpg.PostgresError) as exc:
+            self._give_up(vm, exc)
+            self.drop(vm)
+            return Outcome.NOT_RUN
+        try:
+            tag = await conn.execute("COMMIT", timeout=self._timeout_s)
+        except (*_LOST, asyncpg.PostgresError) as exc:
+            self._give_up(vm, exc)
+            return outcome_of(exc)
+        return Outcome.DONE if tag == "COMMIT" else Outcome.NOT_RUN
+
+    async def read(self, vm: str) -> bool:
+        """Read the session's rows through a proxy; return whether it was answered."""
+        started = time.monotonic()
+        try:
+            conn = await self._ready(vm)
+            found = await conn.fetch(SELECT, self.session, timeout=self._timeout_s)
+        except (*_LOST, asyncpg.PostgresError) as exc:
+            self._give_up(vm, exc)
+            return False
+        ended = time.monotonic()
+        rows = tuple(Row(record["session"], record["key"]) for record in found)
+        self._recorder.reads.append(Read(self.session, started, ended, rows))
+        await self._take_token(vm)
+        return True
+
+    async def _ready(self, vm: str) -> asyncpg.Connection:
+        conn = await self.connection(vm)
+        if self._carry_token and self._token:
+            text = f"SET rosemaryridge.token = '{self._token}'"
+            await conn.execute(text, timeout=self._timeout_s)
+        return conn
+
+    async def _take_token(self, vm: str) -> None:
+        if not self._carry_token or vm not in self._conns:
+            return
+        try:
+            self._token = await self._conns[vm].fetchval("SHOW rosemaryridge.token")
+        except (*_LOST, asyncpg.PostgresError) as exc:
+            self._give_up(vm, exc)
+
+    def _give_up(self, vm: str, exc: BaseException) -> None:
+        self._recorder.count_error(exc)
+        broken = not isinstance(exc, asyncpg.PostgresError)
+        conn = self._conns.get(vm)
+        if broken or (conn is not None and conn.is_closed()):
+            self.drop(vm)
+
+    async def pause(self, seconds: float) -> None:
+        """Think before the next request."""
+        await asyncio.sleep(seconds)
