Record keyed writes in their own transaction

Cause: after an unknown outcome a caller had no way to learn whether a charge or a claim ran, and a second try could run it twice. Change: a request key is inserted before the write and committed with it, with the answer; a second try gets the first answer, another statement with the key is refused. SHOW rosemaryridge.outcome looks a key up and closes it where it did not run, so that its not run is final. SET LOCAL settings end with their transaction. Statements are counted by class, role and outcome.

--- a/src/rosemaryridge/codes/_request.py
+++ b/src/rosemaryridge/codes/_request.py
@@ -75,12 +75,12 @@
     "The request key belongs to another statement or other parameters.",
     "Use a key of its own for each request.",
 )
-TRANSACTION_KEY_RUN = define(
+KEY_RUN_WITHOUT_ANSWER = define(
     4010,
-    "transaction_key_run",
+    "key_run_without_answer",
     Outcome.DONE,
     "55000",
-    "A transaction with this key was committed before.",
+    "A request with this key ran before; its answer is not kept.",
     "Nothing; do not run it again.",
 )
 CANCELED_NOT_SENT = define(
--- a/src/rosemaryridge/proxy/_autocommit.py
+++ b/src/rosemaryridge/proxy/_autocommit.py
@@ -39,11 +39,16 @@
 from rosemaryridge.request import Retry
 from rosemaryridge.request import Sent
 from rosemaryridge.request import Stage
+from rosemaryridge.telemetry import STATEMENTS
 from rosemaryridge.wire import Completion
 from rosemaryridge.wire import Fetched
 from rosemaryridge.wire import Prepared
 
 _RETRY_PAUSE_S = 0.02
+_STALE_STATEMENT = (
+    asyncpg.FeatureNotSupportedError,
+    asyncpg.InvalidSQLStatementNameError,
+)
 _NOWHERE = (codes.limits.NO_TARGET, codes.group.NO_PRIMARY)
 # The time that a caller gets to take in a chunk and the target to send the next.
 _CHUNK_TIMEOUT_S = 30.0
@@ -55,10 +60,16 @@
     kind: RequestKind
 
     def __init__(
-        self, parts: Parts, placer: Placer, state: CallerState, terms: Terms, work: Work
+        self,
+        parts: Parts,
+        placer: Placer,
+        state: CallerState,
+        terms: Terms,
+        work: Work,
+        repeatable: bool = False,
     ):
-        retry_unknown = parts.faults.retry_unknown
-        self.request = Request(self.kind, terms.idempotent, retry_unknown)
+        idempotent = terms.idempotent or repeatable
+        self.request = Request(self.kind, idempotent, parts.faults.retry_unknown)
         self.running = Running(self.request)
         self.scope: asyncio.Timeout | None = None
         self._parts = parts
@@ -67,6 +78,7 @@
         self._terms = terms
         self._work = work
         self._exclude: frozenset[str] = frozenset()
+        self._choosy = False
         self._error: asyncpg.PostgresError | None = None
         self._refusal: Refusal | None = None
 
@@ -80,9 +92,7 @@
                 return await self._conclude(effect)
 
     @abc.abstractmethod
-    async def _exchange(
-        self, placement: Placement, prepared: Prepared, max_rows: int
-    ) -> Effect:
+    async def _exchange(self, placement: Placement, max_rows: int) -> Effect:
         """Send the statement and read the answer."""
 
     @abc.abstractmethod
@@ -94,7 +104,10 @@
         """Pass on what is not passed on yet."""
 
     async def _conclude(self, finish: Finish) -> Completion:
-        self._state.last_outcome = finish.outcome
+        role = "primary" if self.request.on_primary else "replica"
+        self._parts.metrics.inc(STATEMENTS, self.kind.value, role, finish.outcome.value)
+        if self._is_write:
+            self._state.ended(finish.outcome, self._terms.request_key)
         if finish.code is not None:
             raise self._final_refusal(finish)
         if finish.outcome is not Outcome.DONE:
@@ -109,6 +122,7 @@
 
     async def _before_retry(self, retry: Retry) -> Effect:
         parts = self._parts
+        self._choosy = retry.reason == "fenced"
         if self.request.target:
             self._exclude |= {self.request.target}
         if not parts.budget.allow(self._state.business):
@@ -158,7 +172,7 @@
         try:
             return await self._placer.place(self._is_write, self._terms, self._exclude)
         except Refusal as exc:
-            if exc.code not in _NOWHERE or not self._exclude:
+            if exc.code not in _NOWHERE or not self._exclude or self._choosy:
                 raise
         # A connection was lost, which says little about its target.
         self._exclude = frozenset()
@@ -194,18 +208,19 @@
         return effect
 
     async def _run(self, placement: Placement, max_rows: int) -> Effect:
+        connection = placement.connection
         try:
-            return await self._prepare_and_send(placement, max_rows)
-        except (asyncpg.FeatureNotSupportedError, asyncpg.InvalidSQLStatementNameError):
-            connection = placement.connection
+            return await self._exchange(placement, max_rows)
+        except _STALE_STATEMENT:
+            # The target's schema changed; nothing has run.
             if connection.in_transaction() or not connection.forget_statements():
                 raise
-        return await self._prepare_and_send(placement, max_rows)
+        return await self._exchange(placement, max_rows)
 
-    async def _prepare_and_send(self, placement: Placement, max_rows: int) -> Effect:
+    async def _prepare(self, placement: Placement) -> Prepared:
         prepared = await prepare(placement.connection, self._work)
         self.request.on_event(Sent(placement.target, placement.primary))
-        return await self._exchange(placement, prepared, max_rows)
+        return prepared
 
     async def _confirm_answer(self, placement: Placement) -> Effect:
         try:
@@ -225,8 +240,8 @@
         self._prepared: Prepared | None = None
         self._fetched: Fetched | None = None
 
-    async def _exchange(self, placement, prepared, max_rows) -> Effect:
-        self._prepared = prepared
+    async def _exchange(self, placement: Placement, max_rows: int) -> Effect:
+        prepared = self._prepared = await self._prepare(placement)
         self._fetched = await placement.connection.execute(prepared, self._work.params)
         return self.request.on_event(Answered())
 
@@ -253,9 +268,9 @@
         self._prepared: Prepared | None = None
         self._fetched = Fetched((), "")
 
-    async def _exchange(self, placement, prepared, max_rows) -> Effect:
+    async def _exchange(self, placement: Placement, max_rows: int) -> Effect:
         connection = placement.connection
-        self._prepared = prepared
+        prepared = self._prepared = await self._prepare(placement)
         limit = max_rows or CHUNK_ROWS
         async with asyncio.timeout(self._patience_s()):
             fetched = await connection.execute(prepared, self._work.params, limit)
--- a/src/rosemaryridge/proxy/_caller_state.py
+++ b/src/rosemaryridge/proxy/_caller_state.py
@@ -35,6 +35,13 @@
     last_outcome: Outcome = Outcome.DONE
     last_key: str = ""
 
+    def ended(self, outcome: Outcome, key: str = "") -> None:
+        """Note how a request ended; a key is used up unless that is unknown."""
+        self.last_outcome = outcome
+        self.last_key = key
+        if key and outcome is not Outcome.UNKNOWN and self.options.request_key == key:
+            self.options = dataclasses.replace(self.options, request_key="")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Terms:
--- a/src/rosemaryridge/proxy/_local.py
+++ b/src/rosemaryridge/proxy/_local.py
@@ -240,7 +240,8 @@
         statement = query.statement
         name, value = statement.name, statement.value
         if name.startswith(PREFIX):
-            self._set_option(session, name.removeprefix(PREFIX), _unquote(value))
+            option = name.removeprefix(PREFIX)
+            self._set_option(session, option, _unquote(value), statement.local)
         elif statement.name == "transaction":
             self._set_transaction(session, query)
         elif statement.local:
@@ -249,11 +250,15 @@
             await _set_variable(session, query, name, value)
         return Completion("SET")
 
-    def _set_option(self, session, name: str, value: str) -> None:
-        state = session.state
-        state.options = with_option(state.options, name, value)
+    def _set_option(self, session, name: str, value: str, local: bool) -> None:
+        transaction = session.transaction if local else None
+        changed = with_option(session.options, name, value)
+        if transaction is not None:
+            transaction.options = changed
+            return
+        session.state.options = with_option(session.state.options, name, value)
         if name == "token":
-            _observe_token(state)
+            _observe_token(session.state)
 
     def _set_transaction(self, session, query) -> None:
         if session.transaction is None:
@@ -375,5 +380,5 @@
         if option == "token":
             return session.state.session.token()
         if option == "outcome":
-            return session.state.last_outcome.value
-        return show_option(session.state.options, option)
+            return (await session.look_up(query)).value
+        return show_option(session.options, option)
--- a/src/rosemaryridge/proxy/_session.py
+++ b/src/rosemaryridge/proxy/_session.py
@@ -14,12 +14,15 @@
 from rosemaryridge.proxy._autocommit import WriteRun
 from rosemaryridge.proxy._caller_state import Terms
 from rosemaryridge.proxy._describe import describe
+from rosemaryridge.proxy._keyed import KeyedWriteRun
+from rosemaryridge.proxy._keyed import LookupRun
 from rosemaryridge.proxy._local import LOCAL
 from rosemaryridge.proxy._local import initial_state
 from rosemaryridge.proxy._parts import Parts
 from rosemaryridge.proxy._placing import Placer
 from rosemaryridge.proxy._query import Query
 from rosemaryridge.proxy._transaction import Transaction
+from rosemaryridge.request import RequestOptions
 from rosemaryridge.request import ServicePolicy
 from rosemaryridge.request import with_option
 from rosemaryridge.sql import Statement
@@ -36,6 +39,8 @@
 
 _FAILED_TRANSACTION = "25P02"
 _SYNTAX_ERROR = "42601"
+# Thousands of the codes of callers and requests.
+_COUNTED_HERE = (1, 4)
 _UNKNOWN_OID = 705
 _ENDS = (StatementClass.COMMIT, StatementClass.ROLLBACK)
 _EMPTY = Statement("", StatementClass.EMPTY)
@@ -99,9 +104,16 @@
 
     # What a statement needs.
 
+    @property
+    def options(self) -> RequestOptions:
+        """Return the caller's settings in force, those of SET LOCAL included."""
+        transaction = self.transaction
+        local = transaction.options if transaction is not None else None
+        return local or self.state.options
+
     def terms(self, query: Query) -> Terms:
         """Return the terms that bind a statement which starts now."""
-        options = self.state.options
+        options = self.options
         for name, value in query.settings:
             options = with_option(options, name, value)
         policy = self.policy
@@ -178,14 +190,30 @@
     async def _run_alone(
         self, work: Work, max_rows: int, terms: Terms, read: bool
     ) -> Completion:
-        kind = ReadRun if read else WriteRun
+        kind = ReadRun
+        if not read:
+            kind = KeyedWriteRun if terms.request_key else WriteRun
         run = kind(self.parts, self.placer, self.state, terms, work)
+        return await self._run_one(run, max_rows)
+
+    async def _run_one(self, run: Autocommit, max_rows: int) -> Completion:
         self._autocommit = run
         try:
             return await run.run(max_rows)
         finally:
             self._autocommit = None
 
+    async def look_up(self, query: Query) -> Outcome:
+        """Return the last write's outcome, asking the target for an unknown one."""
+        state, terms = self.state, self.terms(query)
+        known = state.last_outcome is not Outcome.UNKNOWN
+        if not terms.request_key or (known and state.last_key == terms.request_key):
+            return state.last_outcome
+        run = LookupRun(self.parts, self.placer, state, terms, None)
+        await self._run_one(run, 0)
+        state.ended(run.found, terms.request_key)
+        return run.found
+
     async def sync(self, failed: bool) -> None:
         """End the implicit transaction, if one is open."""
         transaction = self.transaction
@@ -224,10 +252,10 @@
         """Send the caller a notice."""
         self.connection.send_notice(plain_fields(sqlstate, message, severity))
 
-    def count(self, statement: Statement, outcome: Outcome) -> None:
-        """Count a statement by its class and outcome."""
-        labels = {"class": statement.kind.value, "outcome": outcome.value}
-        self.parts.metrics.statements.inc(labels)
+    def refused(self, refusal: Refusal) -> None:
+        """Count a refusal, unless the part that made it has done so."""
+        if refusal.code.number // 1000 in _COUNTED_HERE:
+            self.parts.metrics.refuse(refusal.code, self.state.service)
 
 
 def _cast(text: str, param_oids: tuple[int, ...]) -> str:
--- a/src/rosemaryridge/proxy/_transaction.py
+++ b/src/rosemaryridge/proxy/_transaction.py
@@ -16,9 +16,11 @@
 from rosemaryridge.proxy._caller_state import CallerState
 from rosemaryridge.proxy._caller_state import Terms
 from rosemaryridge.proxy._connect import CONNECTION_ERRORS
+from rosemaryridge.proxy._keyed import begin_with_record
 from rosemaryridge.proxy._parts import Parts
 from rosemaryridge.proxy._placing import Placement
 from rosemaryridge.proxy._placing import Placer
+from rosemaryridge.proxy._records import KeyedRequest
 from rosemaryridge.proxy._running import Running
 from rosemaryridge.proxy._running import cancel_quietly
 from rosemaryridge.proxy._running import run_aside
@@ -33,12 +35,16 @@
 from rosemaryridge.request import Lost
 from rosemaryridge.request import Request
 from rosemaryridge.request import RequestKind
+from rosemaryridge.request import RequestOptions
 from rosemaryridge.request import Sent
 from rosemaryridge.wire import CallerPortal
 from rosemaryridge.wire import Completion
 from rosemaryridge.wire import Description
+from rosemaryridge.wire import TargetConnection
 
 _ROLLBACK_TIMEOUT_S = 2.0
+# Stands for the statements of a transaction, which are not known in advance.
+_TRANSACTION = "transaction"
 _Value = t.TypeVar("_Value")
 
 
@@ -63,6 +69,8 @@
         self.implicit = implicit
         self.failed = False
         self.wrote = False
+        self.key = ""
+        self.options: RequestOptions | None = None
         self.settings: dict[str, str | None] = {}
         self.running: Running | None = None
         self._parts = parts
@@ -150,9 +158,22 @@
             raise Refusal(codes.request.TRANSACTION_LOST)
         placement = await self._placer.place(not self.read_only, terms)
         self._placement = placement
-        for text in (self.begin, *self._preamble):
+        await self._begin(placement.connection, terms)
+        for text in self._preamble:
             await placement.connection.command(text)
 
+    async def _begin(self, connection: TargetConnection, terms: Terms) -> None:
+        if not terms.request_key or self.read_only:
+            await connection.command(self.begin)
+            return
+        keyed = KeyedRequest(self._state.business, terms.request_key, _TRANSACTION)
+        record = await begin_with_record(connection, self.begin, keyed)
+        self.key = terms.request_key
+        self.wrote = True
+        if record is not None:
+            keyed.check(record)
+            raise Refusal(codes.request.KEY_RUN_WITHOUT_ANSWER)
+
     async def _guard(
         self, step: t.Callable[[], t.Awaitable[_Value]], terms: Terms
     ) -> _Value:
@@ -250,7 +271,7 @@
 
     def _conclude(self, effect: Effect, tag: str, error) -> str:
         finish = t.cast(Finish, effect)
-        self._state.last_outcome = finish.outcome
+        self._state.ended(finish.outcome, self.key)
         if finish.code is not None:
             raise Refusal(finish.code)
         if error is not None:
--- a/src/rosemaryridge/request/_request.py
+++ b/src/rosemaryridge/request/_request.py
@@ -135,9 +135,16 @@
     @_on(events.ConfirmFailed)
     def _confirm_failed(self, event: events.ConfirmFailed) -> Effect:
         if not self._is_read:
-            return events.Finish(Outcome.UNKNOWN, event.code)
+            return self._unconfirmed_write(event.code)
         return self._again("unconfirmed_read", codes.request.READ_FAILED)
 
+    def _unconfirmed_write(self, code: Code) -> Effect:
+        self._may_have_run = True
+        replaced = code is codes.group.PRIMARY_REPLACED
+        if replaced and self._idempotent and self._kind is RequestKind.WRITE:
+            return self._again("primary_replaced", code)
+        return self._finish(Outcome.UNKNOWN, code)
+
     @_on(events.Failed)
     def _failed(self, event: events.Failed) -> Effect:
         if event.sqlstate.startswith(_CONNECTION_CLASSES):
--- a/src/rosemaryridge/wire/_caller_connection.py
+++ b/src/rosemaryridge/wire/_caller_connection.py
@@ -137,7 +137,7 @@
         self._idle = False
         if tag == OVERSIZED:
             tag = payload
-            self._fail(_fields_of(Refusal(codes.caller.STATEMENT_TOO_LARGE)))
+            self._fail(Refusal(codes.caller.STATEMENT_TOO_LARGE))
         elif not self._ignore_until_sync or tag == messages.SYNC:
             await self._dispatch(tag, payload)
         if tag in (messages.QUERY, messages.SYNC):
@@ -172,10 +172,12 @@
         except ConnectionClosed:
             raise
         except Exception as exc:
-            self._fail(_fields_of(exc))
+            self._fail(exc)
 
-    def _fail(self, fields: _errors.Fields) -> None:
-        self._error(fields)
+    def _fail(self, exc: Exception) -> None:
+        if isinstance(exc, Refusal):
+            self.session.refused(exc)
+        self._error(_fields_of(exc))
         self.session.fail()
         self._ignore_until_sync = True
 
--- a/src/rosemaryridge/wire/_caller_session.py
+++ b/src/rosemaryridge/wire/_caller_session.py
@@ -8,6 +8,7 @@
 from pg_mimic.session import Portal
 from pg_mimic.session import Statement
 
+from rosemaryridge.exceptions import Refusal
 from rosemaryridge.wire._columns import Column
 from rosemaryridge.wire._columns import Description
 from rosemaryridge.wire._columns import Parameters
@@ -134,3 +135,6 @@
     @abc.abstractmethod
     def fail(self) -> None:
         """Note that a statement failed; an open transaction fails with it."""
+
+    def refused(self, refusal: Refusal) -> None:
+        """Take note of a refusal that the caller is about to be told."""
