Wire the object API, peers, membership and groups into one proxy

Cause: the proxy still ran on interim parts that polled and trusted blindly. Change: Proxy starts the store, the peers' bus, membership and group service and serves the services that the object API holds. A read that the primary answers waits, as a write does, until a majority holds all that the primary has, so that nothing is shown that a failover can take back.

--- a/src/rosemaryridge/cli/proxy.py
+++ b/src/rosemaryridge/cli/proxy.py
@@ -2,24 +2,25 @@
 
 import asyncio
 import signal
+import sys
 
 import click
 import uvloop
 
 from rosemaryridge.config import ProxySettings
-from rosemaryridge.config import load_service
 from rosemaryridge.config import load_settings
+from rosemaryridge.exceptions import SettingsError
 from rosemaryridge.proxy import Proxy
+from rosemaryridge.telemetry import start_logging
 
 
-async def _run(cfg: ProxySettings, services: tuple[str, ...]) -> None:
+async def _run(cfg: ProxySettings) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     proxy = Proxy(cfg)
-    for path in services:
-        proxy.adopt(load_service(path))
+    start_logging(cfg.log, proxy.timer, proxy.metrics, sys.stderr)
     await proxy.start()
     await stopping.wait()
     await proxy.stop()
@@ -27,10 +28,13 @@
 
 @click.command()
 @click.option("--settings", required=True, help="File of settings.")
-@click.option("--service", "services", multiple=True, help="File of a service.")
-def main(settings: str, services: tuple[str, ...]) -> None:
+def main(settings: str) -> None:
     """Serve callers until SIGTERM."""
-    uvloop.run(_run(load_settings(settings), services))
+    try:
+        cfg = load_settings(settings)
+    except SettingsError as exc:
+        raise click.ClickException(str(exc)) from exc
+    uvloop.run(_run(cfg))
 
 
 if __name__ == "__main__":
--- a/src/rosemaryridge/proxy/_autocommit.py
+++ b/src/rosemaryridge/proxy/_autocommit.py
@@ -95,10 +95,6 @@
     async def _exchange(self, placement: Placement, max_rows: int) -> Effect:
         """Send the statement and read the answer."""
 
-    @abc.abstractmethod
-    async def _confirm(self, placement: Placement) -> None:
-        """Wait for the group to stand behind the answer; raise Refusal."""
-
     @abc.abstractmethod
     async def _deliver(self) -> Completion:
         """Pass on what is not passed on yet."""
@@ -224,7 +220,7 @@
 
     async def _confirm_answer(self, placement: Placement) -> Effect:
         try:
-            await self._confirm(placement)
+            await self._placer.confirm(placement, self._terms)
         except Refusal as exc:
             return self.request.on_event(ConfirmFailed(exc.code))
         return self.request.on_event(Confirmed())
@@ -245,12 +241,6 @@
         self._fetched = await placement.connection.execute(prepared, self._work.params)
         return self.request.on_event(Answered())
 
-    async def _confirm(self, placement: Placement) -> None:
-        position = await self._parts.group.acknowledge(
-            self._state.service, placement.target, placement.term, self._terms.deadline
-        )
-        self._placer.wrote(self._terms, position)
-
     async def _deliver(self) -> Completion:
         answer = self._work.answer
         answer.columns(self._prepared.description.columns)
@@ -277,7 +267,7 @@
         if fetched.tag is None and not max_rows:
             return await self._stream(placement, prepared)
         self._fetched = fetched
-        self._placer.read_at(placement)
+        self._note_read(placement)
         return self.request.on_event(Answered())
 
     def _patience_s(self) -> float | None:
@@ -305,24 +295,19 @@
             fetched = await rows.next(CHUNK_ROWS)
             total += len(fetched.rows)
         await connection.command("COMMIT")
-        self._placer.read_at(placement)
+        self._note_read(placement)
         self._prepared = None
         self._fetched = Fetched(fetched.rows, total_tag(fetched.tag, total))
         return self.request.on_event(Answered())
 
+    def _note_read(self, placement: Placement) -> None:
+        if not placement.primary:
+            self._placer.read_from_replica(placement)
+
     async def _pass_on(self, fetched: Fetched) -> None:
         await self._work.answer.rows(fetched.rows)
         self.scope.reschedule(self._parts.timer.now() + _CHUNK_TIMEOUT_S)
 
-    async def _confirm(self, placement: Placement) -> None:
-        await self._parts.group.confirm_read(
-            self._state.service,
-            placement.target,
-            placement.term,
-            self._state.session.required,
-            self._terms.deadline,
-        )
-
     async def _deliver(self) -> Completion:
         answer = self._work.answer
         if self._prepared is not None:
--- a/src/rosemaryridge/proxy/_parts.py
+++ b/src/rosemaryridge/proxy/_parts.py
@@ -33,17 +33,7 @@
     async def acknowledge(
         self, service: str, target: str, term: int, deadline: float
     ) -> Position:
-        """Return the position once a majority holds what was committed."""
-
-    async def confirm_read(
-        self,
-        service: str,
-        target: str,
-        term: int,
-        position: Position | None,
-        deadline: float,
-    ) -> None:
-        """Return once a majority confirmed the primary that was read."""
+        """Return the primary's position once a majority holds it; raise Refusal."""
 
     def suspect(self, service: str, target: str, reason: str) -> None:
         """Take evidence against a target from the data path."""
--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -113,12 +113,19 @@
                 await connection.command(f"SET {name} = {value}")
                 connection.variables[name] = value
 
-    def read_at(self, placement: Placement) -> None:
-        """Note that a read was answered now."""
+    def read_from_replica(self, placement: Placement) -> None:
+        """Note that a replica answered a read now, at a position not known yet."""
         self._state.mark = ReadMark(placement.target, self._parts.timer.now())
 
-    def wrote(self, terms: Terms, position: Position) -> None:
-        """Note the position of a write that was acknowledged."""
+    async def confirm(self, placement: Placement, terms: Terms) -> None:
+        """Wait until a majority holds all that the primary has now; raise Refusal.
+
+        It serves reads as well as writes: what a caller has seen must last.
+        """
+        position = await self._parts.group.acknowledge(
+            self._state.service, placement.target, placement.term, terms.deadline
+        )
+        self._state.mark = None
         self._state.session.observe(position)
         if terms.session:
             self._parts.directory.record(self._state.service, terms.session, position)
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -1,19 +1,26 @@
 """Hold the settings of one proxy and wire its parts."""
 
 import asyncio
-import dataclasses
 import random
+import time
 
 from rosemaryridge.config import ProxySettings
 from rosemaryridge.config import ServiceConfig
+from rosemaryridge.group import GroupService
+from rosemaryridge.membership import Membership
+from rosemaryridge.peer import GrpcPeerBus
+from rosemaryridge.peer import PeerIdentity
+from rosemaryridge.platform import HttpObjectStore
+from rosemaryridge.pool import LeaseService
 from rosemaryridge.pool import Pools
 from rosemaryridge.pool import RetryBudget
 from rosemaryridge.proxy._connect import Connector
 from rosemaryridge.proxy._factory import SessionFactory
+from rosemaryridge.proxy._interim import InterimConfigService
 from rosemaryridge.proxy._interim import InterimDirectory
-from rosemaryridge.proxy._interim import InterimGroup
 from rosemaryridge.proxy._parts import Parts
 from rosemaryridge.routing import Router
+from rosemaryridge.telemetry import Log
 from rosemaryridge.telemetry import Metrics
 from rosemaryridge.timer import LoopTimer
 from rosemaryridge.wire import CallerLimits
@@ -23,6 +30,12 @@
 
 _CONTROL_DATABASE = "postgres"
 _BACKLOG = 1024
+_GRANTOR_KEY = "grantor/connections"
+_GRANTOR_CANDIDATES = 3
+# A message holds one statement or its parameters.
+_MESSAGE_PER_STATEMENT = 16
+
+log = Log("proxy")
 
 
 class Proxy:
@@ -33,26 +46,76 @@
         self.timer = LoopTimer()
         self.rng = random.Random(cfg.seed or None)
         self.metrics = Metrics()
-        targets = cfg.targets
-        self.connector = Connector(targets)
-        login = Login(targets.user, targets.password, _CONTROL_DATABASE)
-        self.port = PgTargetPort(login)
-        self.group = InterimGroup(self.timer, self.port)
+        self.store = HttpObjectStore(cfg.platform, self.timer, self.metrics)
+        self.identity = _identity(cfg)
+        self.bus = GrpcPeerBus(cfg.peers.bus, self.timer, self.rng, self.identity)
+        self.membership = self._membership()
+        self.config = InterimConfigService(self.store)
+        self.port = PgTargetPort(_control_login(cfg))
+        self.group = self._group()
         self.directory = InterimDirectory()
-        self.pools = Pools(
-            dataclasses.replace(cfg.pool, fleet_size=1),
+        self.pools = self._pools()
+        self.leases = self._leases()
+        self.budget = RetryBudget()
+        self.router = self._router()
+        self.parts = self._parts()
+        self.server = CallerServer(SessionFactory(self.parts), _limits(cfg))
+        self.config.on_change(self.adopt)
+
+    def _membership(self) -> Membership:
+        return Membership(
+            self.cfg.membership,
             self.timer,
             self.rng,
-            self.connector.open,
+            self.identity,
+            self.bus,
+            self.store,
+            self.cfg.peers.seeds,
+        )
+
+    def _group(self) -> GroupService:
+        return GroupService(
+            self.cfg.group,
+            self.timer,
+            self.rng,
+            self.port,
+            self.bus,
+            self.store,
             self.metrics,
-            self.connector.check,
+            self.cfg.faults,
         )
-        self.router = Router(
-            self.timer, self.rng, self.metrics, failure_domain=cfg.failure_domain
+
+    def _pools(self) -> Pools:
+        connector = Connector(self.cfg.targets)
+        return Pools(
+            self.cfg.pool,
+            self.timer,
+            self.rng,
+            connector.open,
+            self.metrics,
+            connector.check,
+        )
+
+    def _leases(self) -> LeaseService:
+        return LeaseService(
+            self.cfg.pool,
+            self.timer,
+            self.rng,
+            self.identity,
+            self.bus,
+            lambda: self.membership.holders(_GRANTOR_KEY, _GRANTOR_CANDIDATES),
+            self.store,
+            self.pools,
+        )
+
+    def _router(self) -> Router:
+        return Router(
+            self.timer,
+            self.rng,
+            self.metrics,
+            self.membership.target_leaving,
+            self.cfg.failure_domain,
         )
-        self.budget = RetryBudget()
-        self.parts = self._parts()
-        self.server = CallerServer(SessionFactory(self.parts), self._limits())
 
     def _parts(self) -> Parts:
         return Parts(
@@ -67,34 +130,66 @@
             self.budget,
         )
 
-    def _limits(self) -> CallerLimits:
-        callers = self.cfg.callers
-        return CallerLimits(
-            max_callers=callers.max_callers,
-            max_message_bytes=16 * callers.max_statement_bytes,
-            login_timeout_s=callers.login_timeout_s,
-        )
-
     def adopt(self, service: ServiceConfig) -> None:
-        """Take over a new or changed service, in the parts' order."""
+        """Take over a new or changed service, callers' part last."""
         self.group.adopt(service)
         self.pools.adopt(service)
         self.budget.adopt(service)
         self.parts.adopt(service)
+        log.info("A service is served.", service=service.name)
 
     async def start(self) -> None:
         """Start the parts, the callers' listener last."""
+        await self.bus.start()
+        await self.membership.start()
+        await self.config.start()
+        await self.group.start()
+        await self.leases.start()
         listen = self.cfg.callers.listen
         await self.server.start_server(listen.host, listen.port, backlog=_BACKLOG)
+        log.info("Callers are served.", endpoint=str(listen))
 
     async def stop(self) -> None:
         """Let open transactions end by the deadline, then stop in reverse order."""
+        log.info("The proxy drains.")
+        self.membership.drain()
         self.server.drain()
         try:
             async with asyncio.timeout(self.cfg.drain.deadline_s):
                 await self.server.drained()
         except TimeoutError:
+            log.warning("Callers are cut off.", callers=self.server.callers)
             self.server.close()
-        await self.pools.close()
+        await self._stop_parts()
+        log.info("The proxy has stopped.")
+
+    async def _stop_parts(self) -> None:
+        await self.leases.stop()
         await self.group.stop()
+        await self.config.stop()
+        await self.membership.stop()
+        await self.pools.close()
         self.port.close()
+        await self.bus.stop()
+        await self.store.close()
+
+
+def _identity(cfg: ProxySettings) -> PeerIdentity:
+    # Only a wall clock tells two processes on the same VM apart.
+    incarnation = time.time_ns() // 1_000_000
+    return PeerIdentity(
+        cfg.vm, incarnation, cfg.failure_domain, cfg.region, cfg.peers.listen
+    )
+
+
+def _control_login(cfg: ProxySettings) -> Login:
+    return Login(cfg.targets.user, cfg.targets.password, _CONTROL_DATABASE)
+
+
+def _limits(cfg: ProxySettings) -> CallerLimits:
+    callers = cfg.callers
+    return CallerLimits(
+        max_callers=callers.max_callers,
+        max_message_bytes=_MESSAGE_PER_STATEMENT * callers.max_statement_bytes,
+        login_timeout_s=callers.login_timeout_s,
+    )
--- a/src/rosemaryridge/proxy/_session.py
+++ b/src/rosemaryridge/proxy/_session.py
@@ -175,7 +175,7 @@
         described = await self._description(portal, answer)
         work = Work(query.text, portal.params, described, answer)
         if self.transaction is not None:
-            return await self.transaction.run(portal, work, max_rows, terms, not read)
+            return await self.transaction.run(portal, work, max_rows, terms)
         return await self._run_alone(work, max_rows, terms, read)
 
     def _needs_transaction(self, alone: bool, read: bool, max_rows: int) -> bool:
--- a/src/rosemaryridge/proxy/_transaction.py
+++ b/src/rosemaryridge/proxy/_transaction.py
@@ -41,6 +41,7 @@
 from rosemaryridge.wire import Completion
 from rosemaryridge.wire import Description
 from rosemaryridge.wire import TargetConnection
+from rosemaryridge.wire import formats_of
 
 _ROLLBACK_TIMEOUT_S = 2.0
 # Stands for the statements of a transaction, which are not known in advance.
@@ -68,7 +69,6 @@
         self.read_only = read_only
         self.implicit = implicit
         self.failed = False
-        self.wrote = False
         self.key = ""
         self.options: RequestOptions | None = None
         self.settings: dict[str, str | None] = {}
@@ -92,17 +92,16 @@
 
     async def describe(self, text: str, terms: Terms) -> Description:
         """Return a statement's types, from the transaction's own connection."""
-        work = Work(text, None, None, _TextAnswer())
+        formats = formats_of((), ())
         prepared = await self._guard(
-            lambda: prepare(self._placement.connection, work), terms
+            lambda: self._placement.connection.prepare(text, formats), terms
         )
         return prepared.description
 
     async def run(
-        self, portal: CallerPortal, work: Work, max_rows: int, terms: Terms, write: bool
+        self, portal: CallerPortal, work: Work, max_rows: int, terms: Terms
     ) -> Completion:
         """Run a statement, or go on with one that was read in part."""
-        self.wrote = self.wrote or write
         return await self._guard(
             lambda: self._run(portal, work, max_rows, terms), terms
         )
@@ -141,15 +140,8 @@
 
     async def _confirm_read_only(self, terms: Terms) -> None:
         """Keep answers of a replaced primary from a read-only transaction."""
-        placement = self._placement
-        if self.read_only and placement.primary:
-            await self._parts.group.confirm_read(
-                self._state.service,
-                placement.target,
-                placement.term,
-                self._state.session.required,
-                terms.deadline,
-            )
+        if self.read_only and self._placement.primary:
+            await self._placer.confirm(self._placement, terms)
 
     async def _open(self, terms: Terms) -> None:
         if self._placement is not None:
@@ -169,7 +161,6 @@
         keyed = KeyedRequest(self._state.business, terms.request_key, _TRANSACTION)
         record = await begin_with_record(connection, self.begin, keyed)
         self.key = terms.request_key
-        self.wrote = True
         if record is not None:
             keyed.check(record)
             raise Refusal(codes.request.KEY_RUN_WITHOUT_ANSWER)
@@ -303,30 +294,16 @@
             self._placer.done(placement, ok=reusable, reusable=reusable)
         return tag, effect, error
 
-    async def _confirm_commit(self, placement: Placement, terms: Terms, tag: str):
-        group, service = self._parts.group, self._state.service
-        if tag == "ROLLBACK" or not placement.primary:
-            self._placer.read_at(placement)
+    async def _confirm_commit(
+        self, placement: Placement, terms: Terms, tag: str
+    ) -> Confirmed | ConfirmFailed:
+        if tag == "ROLLBACK":
+            return Confirmed()
+        if not placement.primary:
+            self._placer.read_from_replica(placement)
             return Confirmed()
         try:
-            if self.wrote:
-                position = await group.acknowledge(
-                    service, placement.target, placement.term, terms.deadline
-                )
-                self._placer.wrote(terms, position)
-            else:
-                required = self._state.session.required
-                await group.confirm_read(
-                    service, placement.target, placement.term, required, terms.deadline
-                )
-                self._placer.read_at(placement)
+            await self._placer.confirm(placement, terms)
         except Refusal as exc:
             return ConfirmFailed(exc.code)
         return Confirmed()
-
-
-class _TextAnswer:
-    """Want every value as text; used where only types are asked for."""
-
-    def formats(self, count: int) -> tuple[int, ...]:
-        return (0,) * count
