Follow published services through a few watchers and the peers

At 910 proxies a watch each would cost the store its rate. Six proxies, spread over failure domains, watch for all; revisions reach the others by notices and fetches between peers, and a comparison of digests repairs what was lost. Adoption is by version in a pure catalog; a hypothesis test offers revisions in any order. A revision that cannot be accepted leaves the one in force. Virtual-time tests cover an outage right after acceptance, a restart in an outage, a cut proxy, missing watchers, a flood and the end of an outage.

--- a/src/rosemaryridge/config/__init__.py
+++ b/src/rosemaryridge/config/__init__.py
@@ -1,6 +1,7 @@
 """Check, publish and adopt configuration."""
 
 from rosemaryridge.config._check import Fault
+from rosemaryridge.config._follower import ConfigService
 from rosemaryridge.config._load import decode_service
 from rosemaryridge.config._load import encode_service
 from rosemaryridge.config._load import load_service
@@ -30,6 +31,7 @@
     "AccountConfig",
     "AdminSettings",
     "BusinessConfig",
+    "ConfigService",
     "CallersSettings",
     "DrainSettings",
     "Fault",
--- /dev/null
+++ b/src/rosemaryridge/config/_follower.py
@@ -0,0 +1,139 @@
+"""Keep every published service in force on this proxy."""
+
+import asyncio
+import random
+import typing as t
+
+from rosemaryridge import codes
+from rosemaryridge.config._catalog import Catalog
+from rosemaryridge.config._catalog import Verdict
+from rosemaryridge.config._exchange import CatalogBus
+from rosemaryridge.config._exchange import Exchange
+from rosemaryridge.config._messages import RevisionValue
+from rosemaryridge.config._service import ServiceConfig
+from rosemaryridge.config._settings import ServicesSettings
+from rosemaryridge.config._watch import StoreWatch
+from rosemaryridge.platform import ObjectStore
+from rosemaryridge.telemetry import REVISIONS
+from rosemaryridge.telemetry import SERVICE_REVISION
+from rosemaryridge.telemetry import Log
+from rosemaryridge.telemetry import Metrics
+from rosemaryridge.timer import TimerService
+
+log = Log("config")
+
+OnChange = t.Callable[[ServiceConfig], None]
+
+
+class ConfigService:
+    """Follow published services through the object API and the peers.
+
+    `is_watcher` tells whether this proxy is one of those that watch the object
+    API for all.
+    """
+
+    def __init__(
+        self,
+        cfg: ServicesSettings,
+        timer: TimerService,
+        rng: random.Random,
+        store: ObjectStore,
+        bus: CatalogBus,
+        metrics: Metrics,
+        is_watcher: t.Callable[[], bool],
+    ):
+        self._metrics = metrics
+        self._catalog = Catalog()
+        self._callbacks: list[OnChange] = []
+        self._exchange = Exchange(
+            cfg, timer, rng, bus, self._catalog, self._on_peer_values
+        )
+        self._watch = StoreWatch(
+            cfg, timer, rng, store, is_watcher, lambda: self.complete, self._on_read
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def complete(self) -> bool:
+        """Return whether all that was published at the start is held here."""
+        return self._exchange.complete
+
+    def current(self) -> t.Mapping[str, ServiceConfig]:
+        """Return the services in force, by name."""
+        return self._catalog.current()
+
+    def on_change(self, callback: OnChange) -> None:
+        """Call back with each service that is adopted."""
+        self._callbacks.append(callback)
+
+    async def start(self) -> None:
+        """Start to follow; return at once."""
+        self._exchange.start()
+        self._task = asyncio.get_running_loop().create_task(self._watch.run())
+
+    async def stop(self) -> None:
+        """Stop following; what is in force stays."""
+        self._exchange.stop()
+        if self._task is not None:
+            self._task.cancel()
+
+    def status(self) -> dict[str, t.Any]:
+        """Return what the status page shows of services."""
+        services = {name: self._service_status(name) for name in self._catalog.names()}
+        return {
+            "complete": self.complete,
+            "object_api_reachable": self._watch.reachable,
+            "services": services,
+        }
+
+    def _service_status(self, name: str) -> dict[str, t.Any]:
+        service = self._catalog.current().get(name)
+        rejection = self._catalog.rejection(name)
+        return {
+            "revision": service.revision if service else 0,
+            "newest": self._catalog.newest(name),
+            "rejected": list(rejection.faults) if rejection else [],
+        }
+
+    def _on_read(self, values: tuple[RevisionValue, ...]) -> None:
+        self._take("store", values)
+        self._exchange.complete = True
+
+    def _on_peer_values(self, _vm: str, values: tuple[RevisionValue, ...]) -> None:
+        self._take("peer", values)
+
+    def _take(self, source: str, values: tuple[RevisionValue, ...]) -> None:
+        before = {
+            value.service: self._catalog.newest(value.service) for value in values
+        }
+        for value in values:
+            verdict = self._catalog.offer(value)
+            self._metrics.inc(REVISIONS, source, verdict.value)
+            self._act(verdict, value)
+        newer = [n for n, rev in before.items() if self._catalog.newest(n) > rev]
+        self._exchange.announce(newer)
+
+    def _act(self, verdict: Verdict, value: RevisionValue) -> None:
+        name = value.service
+        if verdict is Verdict.ADOPTED:
+            self._adopt(self._catalog.current()[name])
+        elif verdict is Verdict.REJECTED:
+            self._metrics.refuse(codes.config.REVISION_REJECTED, name)
+            log.error(
+                "A revision is not accepted.", service=name, revision=value.revision
+            )
+
+    def _adopt(self, service: ServiceConfig) -> None:
+        self._metrics.set(SERVICE_REVISION, service.revision, service.name)
+        log.info(
+            "A revision is in force.", service=service.name, revision=service.revision
+        )
+        for callback in self._callbacks:
+            self._tell(callback, service)
+
+    def _tell(self, callback: OnChange, service: ServiceConfig) -> None:
+        # A part that fails on one service must not stop the others from following.
+        try:
+            callback(service)
+        except Exception as exc:
+            log.error("A part failed on a revision.", service=service.name, error=exc)
--- a/src/rosemaryridge/config/_settings.py
+++ b/src/rosemaryridge/config/_settings.py
@@ -57,13 +57,24 @@
 class ServicesSettings:
     """Follow the published services."""
 
-    watchers: Positive = setting(5, "Proxies that watch the object API for the others.")
-    exchange_period_s: Seconds = setting(
-        2.0, "Time between two comparisons with a peer."
+    watchers: Positive = setting(
+        6, "Proxies that watch the object API for all, spread over failure domains."
     )
-    rearm_jitter: Share = setting(0.2, "Share by which a watch's wait varies.")
-    retry_base_s: Seconds = setting(0.5, "First pause after a failed watch.")
-    retry_max_s: Seconds = setting(10.0, "Longest pause after failed watches.")
+    watch_wait_s: Seconds = setting(30.0, "Longest wait of one watch.")
+    rearm_s: Seconds = setting(
+        0.5, "Pause after changes, so that one watch takes up several."
+    )
+    jitter: Share = setting(0.3, "Share by which waits and pauses vary.")
+    backstop_s: Seconds = setting(
+        60.0, "Time between two reads by a proxy that does not watch."
+    )
+    peers_first_s: Seconds = setting(
+        1.0, "Time that a starting proxy gives its peers before it reads by itself."
+    )
+    retry_min_s: Seconds = setting(0.5, "First pause after a failed call.")
+    retry_max_s: Seconds = setting(10.0, "Longest pause after failed calls.")
+    exchange_s: Seconds = setting(2.0, "Time between two comparisons with a peer.")
+    ask_timeout_s: Seconds = setting(2.0, "Time for a peer to give revisions.")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from rosemaryridge.config import ConfigService
 from rosemaryridge.config import ProxySettings
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.group import GroupService
@@ -16,7 +17,6 @@
 from rosemaryridge.pool import RetryBudget
 from rosemaryridge.proxy._connect import Connector
 from rosemaryridge.proxy._factory import SessionFactory
-from rosemaryridge.proxy._interim import InterimConfigService
 from rosemaryridge.proxy._interim import InterimDirectory
 from rosemaryridge.proxy._parts import Parts
 from rosemaryridge.routing import Router
@@ -30,6 +30,7 @@
 
 _CONTROL_DATABASE = "postgres"
 _BACKLOG = 1024
+_WATCH_KEY = "watch/services"
 _GRANTOR_KEY = "grantor/connections"
 _GRANTOR_CANDIDATES = 3
 # A message holds one statement or its parameters.
@@ -50,7 +51,7 @@
         self.identity = _identity(cfg)
         self.bus = GrpcPeerBus(cfg.peers.bus, self.timer, self.rng, self.identity)
         self.membership = self._membership()
-        self.config = InterimConfigService(self.store)
+        self.config = self._config()
         self.port = PgTargetPort(_control_login(cfg))
         self.group = self._group()
         self.directory = InterimDirectory()
@@ -73,6 +74,18 @@
             self.cfg.peers.seeds,
         )
 
+    def _config(self) -> ConfigService:
+        cfg = self.cfg.services
+        return ConfigService(
+            cfg,
+            self.timer,
+            self.rng,
+            self.store,
+            self.bus,
+            self.metrics,
+            lambda: self.cfg.vm in self.membership.holders(_WATCH_KEY, cfg.watchers),
+        )
+
     def _group(self) -> GroupService:
         return GroupService(
             self.cfg.group,
--- /dev/null
+++ b/src/rosemaryridge_testbed/virtual/_waiting.py
@@ -0,0 +1,76 @@
+"""Stand in for the platform's watches in virtual time."""
+
+import asyncio
+import collections
+
+from rosemaryridge.exceptions import StoreUnavailable
+from rosemaryridge.platform import StoredObject
+from rosemaryridge.timer import ManualTimer
+from rosemaryridge_testbed.virtual._store import VirtualStore
+
+_TURNS = 4
+
+
+class WaitingStore(VirtualStore):
+    """Hold watches open until a change, the end of the wait or an outage."""
+
+    def __init__(self, timer: ManualTimer):
+        super().__init__()
+        self.watches = collections.Counter()
+        self._timer = timer
+        self._waiting: set[asyncio.Future[None]] = set()
+
+    async def put(self, kind: str, name: str, value: bytes, expected: int) -> int:
+        """Write and wake every watch."""
+        version = await super().put(kind, name, value, expected)
+        self._wake()
+        return version
+
+    async def watch(
+        self, kind: str, since: int, wait_s: float
+    ) -> tuple[int, tuple[StoredObject, ...]]:
+        """Wait for changes after a revision."""
+        self._count()
+        self.watches[int(self._timer.now())] += 1
+        end = self._timer.now() + wait_s
+        while not (found := self._after(kind, since)) and self._timer.now() < end:
+            await self._wait(end - self._timer.now())
+            if self.down:
+                raise StoreUnavailable("the store is down")
+        return self._revision, found
+
+    def set_down(self, down: bool) -> None:
+        """Begin or end an outage."""
+        self.down = down
+        self._wake()
+
+    def _after(self, kind: str, since: int) -> tuple[StoredObject, ...]:
+        objects = self._objects.values()
+        return tuple(one for one in objects if one.kind == kind and one.version > since)
+
+    async def _wait(self, wait_s: float) -> None:
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting.add(fut)
+        subscription = self._timer.after(wait_s, lambda: _finish(fut))
+        try:
+            await fut
+        finally:
+            subscription.cancel()
+            self._waiting.discard(fut)
+
+    def _wake(self) -> None:
+        for fut in self._waiting:
+            _finish(fut)
+
+
+def _finish(fut: asyncio.Future[None]) -> None:
+    if not fut.done():
+        fut.set_result(None)
+
+
+async def advance(timer: ManualTimer, duration_s: float, step_s: float = 0.01) -> None:
+    """Move virtual time on and let tasks run between the steps."""
+    for _ in range(max(1, round(duration_s / step_s))):
+        timer.advance(step_s)
+        for _ in range(_TURNS):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_catalog.py
@@ -0,0 +1,217 @@
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from rosemaryridge import codes
+from rosemaryridge.config import ConfigService
+from rosemaryridge.config import ServiceConfig
+from rosemaryridge.config import ServicesSettings
+from rosemaryridge.config import TargetConfig
+from rosemaryridge.config import encode_service
+from rosemaryridge.config._catalog import Catalog
+from rosemaryridge.config._catalog import Verdict
+from rosemaryridge.config._messages import RevisionValue
+from rosemaryridge.model import Endpoint
+from rosemaryridge.telemetry import REFUSALS
+from rosemaryridge.telemetry import Metrics
+from rosemaryridge.timer import ManualTimer
+from rosemaryridge_testbed.virtual import VirtualBus
+from rosemaryridge_testbed.virtual import VirtualNetwork
+from rosemaryridge_testbed.virtual import WaitingStore
+from rosemaryridge_testbed.virtual import advance
+
+BROKEN = b'{"name": "broken"}'
+
+
+def value(name, database="db"):
+    target = TargetConfig("a", Endpoint("10.0.0.1", 5432), "suva")
+    return encode_service(ServiceConfig(name, 0, database, (target,)))
+
+
+def offer(number, revision, accepted=True):
+    name = f"service{number}"
+    return RevisionValue(name, revision, value(name) if accepted else BROKEN)
+
+
+class CatalogTest(unittest.TestCase):
+    @settings(max_examples=200, deadline=None)
+    @given(
+        st.dictionaries(
+            st.integers(1, 40), st.tuples(st.integers(0, 2), st.booleans())
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_any_order_ends_at_the_newest_and_never_reverts(self, published, rng):
+        offers = [offer(n, revision, ok) for revision, (n, ok) in published.items()]
+        catalogs = []
+        for _ in range(2):
+            catalog = Catalog()
+            arrivals = offers + rng.choices(offers, k=len(offers)) if offers else []
+            rng.shuffle(arrivals)
+            highest = {}
+            for one in arrivals:
+                catalog.offer(one)
+                for name, service in catalog.current().items():
+                    self.assertGreaterEqual(service.revision, highest.get(name, 0))
+                    highest[name] = service.revision
+            catalogs.append(catalog)
+        expected = {}
+        for revision, (number, accepted) in published.items():
+            name = f"service{number}"
+            if accepted:
+                expected[name] = max(revision, expected.get(name, 0))
+        for catalog in catalogs:
+            in_force = {n: s.revision for n, s in catalog.current().items()}
+            self.assertEqual(in_force, expected)
+        self.assertEqual(catalogs[0].digests(), catalogs[1].digests())
+
+    def test_keeps_what_it_cannot_accept_for_the_peers(self):
+        catalog = Catalog()
+        self.assertIs(catalog.offer(offer(1, 3)), Verdict.ADOPTED)
+        self.assertIs(catalog.offer(offer(1, 5, accepted=False)), Verdict.REJECTED)
+        self.assertIs(catalog.offer(offer(1, 5, accepted=False)), Verdict.STALE)
+        self.assertEqual(catalog.current()["service1"].revision, 3)
+        self.assertEqual([one.revision for one in catalog.values("service1")], [3, 5])
+        self.assertEqual(catalog.rejection("service1").revision, 5)
+        catalog.offer(offer(1, 6))
+        self.assertIsNone(catalog.rejection("service1"))
+
+    def test_refuses_a_value_of_another_service(self):
+        other = RevisionValue("service1", 3, value("service2"))
+        self.assertIs(Catalog().offer(other), Verdict.REJECTED)
+
+
+class ConfigServiceTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.timer = ManualTimer()
+        self.network = VirtualNetwork(self.timer, random.Random(1), 0.0015)
+        self.store = WaitingStore(self.timer)
+        self.proxies = {}
+        self.metrics = {}
+
+    async def start(self, vm, incarnation=1, watches=False):
+        bus = VirtualBus(self.network, vm, "suva", incarnation)
+        others = [(name, proxy[0]) for name, proxy in self.proxies.items()]
+        self.metrics[vm] = Metrics()
+        service = ConfigService(
+            ServicesSettings(),
+            self.timer,
+            random.Random(vm),
+            self.store,
+            bus,
+            self.metrics[vm],
+            lambda: watches,
+        )
+        self.addAsyncCleanup(service.stop)
+        await service.start()
+        for name, other in others[-4:]:
+            bus.learn(name, other.endpoint)
+        bus.set_neighbours([name for name, _ in others[-4:]])
+        self.proxies[vm] = (bus, service)
+        return service
+
+    async def fleet(self, size, watchers=2):
+        for number in range(size):
+            await self.start(f"vm{number:02}", watches=number < watchers)
+        await self.pass_time(5.0)
+        self.assertTrue(all(one.complete for _, one in self.proxies.values()))
+
+    async def pass_time(self, duration_s):
+        await advance(self.timer, duration_s, max(0.01, duration_s / 100))
+
+    def revisions(self, name):
+        found = (one.current().get(name) for _, one in self.proxies.values())
+        return {service.revision if service else 0 for service in found}
+
+    async def publish(self, name, expected, content=None):
+        content = content or value(name)
+        return await self.store.put("service", name, content, expected)
+
+    async def test_comes_into_force_everywhere(self):
+        await self.fleet(12)
+        revision = await self.publish("vialbook", 0)
+        await self.pass_time(5.0)
+        self.assertEqual(self.revisions("vialbook"), {revision})
+
+    async def test_an_outage_right_after_acceptance_does_not_stop_it(self):
+        await self.fleet(12, watchers=1)
+        revision = await self.publish("vialbook", 0)
+        await self.pass_time(0.01)
+        self.store.set_down(True)
+        await self.pass_time(5.0)
+        self.assertEqual(self.revisions("vialbook"), {revision})
+
+    async def test_a_proxy_restarted_in_an_outage_starts_from_its_peers(self):
+        await self.fleet(6)
+        revision = await self.publish("vialbook", 0)
+        await self.pass_time(5.0)
+        self.store.set_down(True)
+        self.network.crash("vm03")
+        _, stopped = self.proxies.pop("vm03")
+        await stopped.stop()
+        service = await self.start("vm03", incarnation=2)
+        await self.pass_time(5.0)
+        self.assertTrue(service.complete)
+        self.assertEqual(service.current()["vialbook"].revision, revision)
+
+    async def test_a_proxy_that_was_cut_off_catches_up(self):
+        await self.fleet(6, watchers=1)
+        for vm in set(self.proxies) - {"vm05"}:
+            self.network.cut("vm05", vm)
+            self.network.cut(vm, "vm05")
+        revision = await self.publish("vialbook", 0)
+        await self.pass_time(10.0)
+        self.assertEqual(self.revisions("vialbook"), {0, revision})
+        self.network.heal()
+        await self.pass_time(10.0)
+        self.assertEqual(self.revisions("vialbook"), {revision})
+
+    async def test_without_watchers_the_backstop_bounds_the_delay(self):
+        await self.fleet(4, watchers=0)
+        revision = await self.publish("vialbook", 0)
+        await self.pass_time(ServicesSettings().backstop_s + 5.0)
+        self.assertEqual(self.revisions("vialbook"), {revision})
+
+    async def test_a_revision_that_is_not_accepted_leaves_the_one_in_force(self):
+        await self.fleet(4)
+        first = await self.publish("vialbook", 0)
+        await self.pass_time(5.0)
+        await self.publish("vialbook", first, BROKEN)
+        await self.pass_time(5.0)
+        self.assertEqual(self.revisions("vialbook"), {first})
+        for vm, (_, service) in self.proxies.items():
+            rejected = codes.config.REVISION_REJECTED.name
+            counted = self.metrics[vm].value(REFUSALS, rejected, "vialbook")
+            self.assertGreaterEqual(counted, 1)
+            self.assertTrue(service.status()["services"]["vialbook"]["rejected"])
+
+    async def test_a_flood_of_changes_costs_few_calls(self):
+        await self.fleet(8, watchers=2)
+        before = sum(self.store.watches.values())
+        revision = 0
+        for _ in range(300):
+            revision = await self.publish("vialbook", revision)
+            await self.pass_time(0.02)
+        await self.pass_time(5.0)
+        self.assertEqual(self.revisions("vialbook"), {revision})
+        calls = sum(self.store.watches.values()) - before
+        self.assertLessEqual(calls, 2 * (6.0 / 0.35 + 2))
+
+    async def test_an_outage_ends_without_a_burst_of_calls(self):
+        await self.fleet(20, watchers=3)
+        self.store.set_down(True)
+        await self.pass_time(90.0)
+        self.store.set_down(False)
+        ended = int(self.timer.now())
+        revision = await self.publish("vialbook", 0)
+        await self.pass_time(15.0)
+        self.assertEqual(self.revisions("vialbook"), {revision})
+        busiest = max(self.store.watches[ended + n] for n in range(15))
+        self.assertLessEqual(busiest, 6)
+
+
+if __name__ == "__main__":
+    unittest.main()
