--- a/src/rosemaryridge_testbed/fleet/_fleet.py
+++ b/src/rosemaryridge_testbed/fleet/_fleet.py
@@ -7,6 +7,7 @@
 import types
 import typing as t
 
+import aiohttp
 import asyncpg
 
 from rosemaryridge.cli.proxy import main as proxy_command
@@ -233,15 +234,27 @@
 
     async def primary(self) -> str | None:
         """Return the writable target of the highest term."""
+        leading = [state for state in await self.states() if state["writable"]]
+        best = max(leading, key=lambda state: state["term"], default=None)
+        return best["name"] if best else None
+
+    async def states(self) -> list[dict[str, t.Any]]:
+        """Return the states of the targets that answer."""
         states = []
         for name in self.targets:
             try:
                 states.append(await self.admin.target(name))
-            except (OSError, TimeoutError):
+            except (OSError, aiohttp.ClientError):
                 continue
-        leading = [state for state in states if state["writable"]]
-        best = max(leading, key=lambda state: state["term"], default=None)
-        return best["name"] if best else None
+        return states
+
+    async def converged(self) -> str | None:
+        """Return the primary once every target holds and applied what it holds."""
+        states = await self.states()
+        leading = [state["name"] for state in states if state["writable"]]
+        positions = {state[key] for state in states for key in ("received", "applied")}
+        whole = len(states) == len(self.targets) and len(positions) == 1
+        return leading[0] if whole and len(leading) == 1 else None
 
     def pause(self, name: str) -> None:
         """Stop a process in its tracks."""
--- a/src/rosemaryridge_testbed/load/_caller.py
+++ b/src/rosemaryridge_testbed/load/_caller.py
@@ -1,6 +1,5 @@
 """Be one caller with a session that roams between proxies."""
 
-import asyncio
 import re
 import time
 import typing as t
@@ -8,6 +7,7 @@
 import asyncpg
 
 from rosemaryridge.model import Outcome
+from rosemaryridge.session import parse_token
 from rosemaryridge_testbed.fleet import Fleet
 from rosemaryridge_testbed.history import Read
 from rosemaryridge_testbed.history import Row
@@ -89,11 +89,12 @@
         started = time.monotonic()
         outcome = await self._try_write(vm, key, rows)
         ended = time.monotonic()
+        position = ORIGIN
+        if outcome is Outcome.DONE and await self._take_token(vm):
+            position = parse_token(self._token).position
         self._recorder.writes.append(
-            Write(self.session, key, started, ended, outcome, rows)
+            Write(self.session, key, started, ended, outcome, rows, position)
         )
-        if outcome is Outcome.DONE:
-            await self._take_token(vm)
         return outcome
 
     async def _try_write(self, vm: str, key: str, rows: int) -> Outcome:
@@ -152,13 +153,15 @@
             await conn.execute(text, timeout=self._timeout_s)
         return conn
 
-    async def _take_token(self, vm: str) -> None:
+    async def _take_token(self, vm: str) -> bool:
         if not self._carry_token or vm not in self._conns:
-            return
+            return False
         try:
             self._token = await self._conns[vm].fetchval("SHOW rosemaryridge.token")
         except (*_LOST, asyncpg.PostgresError) as exc:
             self._give_up(vm, exc)
+            return False
+        return True
 
     def _give_up(self, vm: str, exc: BaseException) -> None:
         self._recorder.count_error(exc)
@@ -166,7 +169,3 @@
         conn = self._conns.get(vm)
         if broken or (conn is not None and conn.is_closed()):
             self.drop(vm)
-
-    async def pause(self, seconds: float) -> None:
-        """Think before the next request."""
-        await asyncio.sleep(seconds)
--- a/src/rosemaryridge_testbed/target/_admin.py
+++ b/src/rosemaryridge_testbed/target/_admin.py
@@ -35,6 +35,7 @@
     callers: int
     peak_callers: int
     peak_statements: int
+    reads: dict[str, int]
 
 
 class Target:
@@ -131,6 +132,7 @@
             callers=self._server.callers,
             peak_callers=self._server.peak_callers,
             peak_statements=self._host.gate.peak,
+            reads=dict(self._host.reads),
         )
         return web.Response(
             body=msgspec.json.encode(state), content_type="application/json"
--- a/src/rosemaryridge_testbed/target/_commands.py
+++ b/src/rosemaryridge_testbed/target/_commands.py
@@ -126,6 +126,8 @@
             await self._spend(parsed, values)
             executor = tx.executor()
             cursor = executor.run(parsed.text, _named(values))
+            if " FROM " in parsed.text:
+                self.host.reads[self.host.member.promise.role.value] += 1
             return Result("SELECT", cursor)
 
     @_runs(Kind.WRITE)
--- a/src/rosemaryridge_testbed/target/_transaction.py
+++ b/src/rosemaryridge_testbed/target/_transaction.py
@@ -1,6 +1,7 @@
 """Keep one connection's transaction."""
 
 import asyncio
+import collections
 import dataclasses
 import typing as t
 
@@ -17,7 +18,10 @@
 
 @dataclasses.dataclass(eq=False)
 class Host:
-    """Hold what all connections of a target share."""
+    """Hold what all connections of a target share.
+
+    `reads` counts the reads of tables that ran in each role.
+    """
 
     member: Member
     knobs: Knobs
@@ -25,6 +29,9 @@
     resumed: asyncio.Event
     writer: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     sessions: set["Transaction"] = dataclasses.field(default_factory=set)
+    reads: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 class Transaction:
