--- a/src/rosemaryridge_testbed/cli/demo.py
+++ b/src/rosemaryridge_testbed/cli/demo.py
@@ -63,8 +63,8 @@
     """Run the demonstration; return whether every promise held."""
     options = FleetOptions(seed=seed, latencies=_LATENCIES)
     _say("demo: starts a platform, three targets and three proxies")
-    async with Fleet(options) as fleet:
-        trial = Trial(fleet, LoadOptions(callers=_CALLERS, pace_s=_PACE_S, seed=seed))
+    load = LoadOptions(callers=_CALLERS, pace_s=_PACE_S, seed=seed)
+    async with Fleet(options) as fleet, Trial(fleet, load) as trial:
         await trial.start(_LAG_MS)
         gap_s = await _play(fleet, trial)
         share = await trial.replica_share()
--- a/src/rosemaryridge_testbed/load/_caller.py
+++ b/src/rosemaryridge_testbed/load/_caller.py
@@ -6,6 +6,7 @@
 
 import asyncpg
 
+from rosemaryridge.model import ORIGIN
 from rosemaryridge.model import Outcome
 from rosemaryridge.session import parse_token
 from rosemaryridge_testbed.fleet import Fleet
@@ -19,7 +20,7 @@
 
 _OUTCOME = re.compile(r"outcome: ([a-z ]+)")
 _UNKNOWN_STATES = ("40003", "57P01", "57014")
-_LOST = (OSError, asyncpg.InterfaceError, TimeoutError)
+_LOST = (OSError, asyncpg.InterfaceError, asyncpg.InternalClientError)
 
 
 def outcome_of(exc: BaseException) -> Outcome:
--- a/src/rosemaryridge_testbed/load/_load.py
+++ b/src/rosemaryridge_testbed/load/_load.py
@@ -77,6 +77,11 @@
         self._stopping = True
         await asyncio.gather(*self._tasks)
 
+    def cancel(self) -> None:
+        """End every caller at once."""
+        for task in self._tasks:
+            task.cancel()
+
     async def run_for(self, seconds: float) -> None:
         """Let the callers run; raise where one has failed."""
         end = time.monotonic() + seconds
--- a/src/rosemaryridge_testbed/load/_trial.py
+++ b/src/rosemaryridge_testbed/load/_trial.py
@@ -27,6 +27,14 @@
         self.load = Load(fleet, options or LoadOptions(), self.recorder)
         self._watching: asyncio.Task | None = None
 
+    async def __aenter__(self) -> "Trial":
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        self.load.cancel()
+        if self._watching is not None:
+            self._watching.cancel()
+
     async def start(self, apply_lag_ms: float = 100.0) -> None:
         """Create the table, let replicas lag and start the callers."""
         await create_table(self.fleet)
@@ -48,16 +56,14 @@
 
     async def until_writable(self, since: float, timeout_s: float = 30.0) -> float:
         """Return the gap between a fault and the first write done after it."""
-        gap = await eventually(
+        return await eventually(
             lambda: self.recorder.write_gap_s(since), timeout_s, "a write after a fault"
         )
-        return gap
 
     async def finish(self) -> str:
         """Stop the load, wait until the targets agree, judge; return the primary."""
         await self.load.stop()
         primary = await eventually(self.fleet.converged, _SETTLE_S, "agreement")
-        self._watching.cancel()
         rows = await final_rows(self.fleet, primary)
         self.findings = check(self.recorder.history(rows))
         return primary
