--- a/src/rosemaryridge/sql/_functions.py
+++ b/src/rosemaryridge/sql/_functions.py
@@ -35,7 +35,7 @@
     make_interval make_time make_timestamp make_timestamptz max md5 min mod mode
     now nth_value ntile nullif num_nonnulls num_nulls numnode obj_description
     octet_length overlay percent_rank percentile_cont percentile_disc
-    pg_backend_pid pg_encoding_to_char pg_get_constraintdef pg_get_expr
+    pg_backend_pid pg_encoding_to_char pg_sleep pg_get_constraintdef pg_get_expr
     pg_get_function_arguments pg_get_function_result pg_get_functiondef
     pg_get_indexdef pg_get_userbyid pg_get_viewdef pg_is_in_recovery pg_size_pretty
     pg_table_is_visible pg_table_size pg_total_relation_size
--- a/src/rosemaryridge_testbed/fleet/_fleet.py
+++ b/src/rosemaryridge_testbed/fleet/_fleet.py
@@ -104,7 +104,7 @@
         await eventually(self.admin.platform, _START_S, "platform")
         for target in self.targets:
             await eventually(lambda name=target: self.admin.target(name), _START_S)
-        await self._set_latencies()
+        await eventually(self._set_latencies, _START_S, "links")
         await self.publish_vms()
         service = service_config(self.options, self._public_ports())
         await self.admin.put_object("service", SERVICE, encode_service(service), 0)
@@ -182,7 +182,7 @@
             conn.terminate()
         return True
 
-    async def _set_latencies(self) -> None:
+    async def _set_latencies(self) -> bool:
         ms = self.options.latencies
         jitter = ms.jitter_ms
         for target in self.targets:
@@ -192,6 +192,7 @@
             await self.admin.set_links(*ways, latency_ms=ms.replica_ms)
         callers = [f"caller-{proxy}" for proxy in self.proxies]
         await self.admin.set_links(*callers, latency_ms=ms.caller_ms)
+        return True
 
     async def publish_vms(self, leaving: t.Collection[str] = ()) -> None:
         """Put the proxies on the platform's VM list."""
--- a/src/rosemaryridge_testbed/fleet/_processes.py
+++ b/src/rosemaryridge_testbed/fleet/_processes.py
@@ -55,6 +55,10 @@
         """Return the file of a process's output."""
         return self._directory / f"{name}.log"
 
+    def pid(self, name: str) -> int:
+        """Return a process's id."""
+        return self._running[name].pid
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self._running[name].send_signal(number)
--- a/src/rosemaryridge_testbed/target/_sql.py
+++ b/src/rosemaryridge_testbed/target/_sql.py
@@ -42,6 +42,13 @@
     exp.DataType.Type.VARCHAR: oids.VARCHAR,
 }
 
+# sqlite reads any other type name as numeric and cuts a text to its first number.
+_KEPT_CASTS = (
+    *exp.DataType.INTEGER_TYPES,
+    *exp.DataType.REAL_TYPES,
+    *exp.DataType.TEXT_TYPES,
+)
+
 
 class Kind(enum.Enum):
     """Name what a statement does to the connection or the data."""
@@ -278,6 +285,8 @@
         return exp.Delete(this=node.expressions[0])
     if isinstance(node, exp.ILike):
         return exp.Like(this=node.this, expression=node.expression)
+    if isinstance(node, exp.Cast) and node.to.this not in _KEPT_CASTS:
+        return node.this.transform(_rewrite_node)
     if isinstance(node, exp.Table) and isinstance(node.this, exp.Func):
         return _rewrite_series(node)
     if isinstance(node, exp.ColumnDef):
