Serve health, metrics, status and commands on an admin port

Operators need to see what a proxy does. Parts register sections, readiness conditions, gauges and commands; the proxy shows groups, peers, pools, shares and services, drains on command and explains how a statement would be classed and routed. One address is enough for a fleet-wide view: a proxy passes questions on to its peers.

--- a/src/rosemaryridge/cli/proxy.py
+++ b/src/rosemaryridge/cli/proxy.py
@@ -20,6 +20,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     proxy = Proxy(cfg)
+    proxy.on_drain = stopping.set
     start_logging(cfg.log, proxy.timer, proxy.metrics, sys.stderr)
     await proxy.start()
     await stopping.wait()
--- /dev/null
+++ b/src/rosemaryridge/proxy/_admin.py
@@ -0,0 +1,202 @@
+"""Show a proxy's parts on its admin port and take the operator's commands."""
+
+import dataclasses
+import typing as t
+
+import rosemaryridge
+from rosemaryridge.config import ProxySettings
+from rosemaryridge.exceptions import Refusal
+from rosemaryridge.group import GroupView
+from rosemaryridge.proxy._explain import explain
+from rosemaryridge.proxy._relay import register_relay
+from rosemaryridge.telemetry import GROUP_TERM
+from rosemaryridge.telemetry import POOL_CONNECTIONS
+from rosemaryridge.telemetry import TARGET_LAG
+from rosemaryridge.telemetry import Pages
+
+if t.TYPE_CHECKING:
+    from rosemaryridge.proxy._proxy import Proxy
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetLine:
+    """Show one target of a group."""
+
+    role: str
+    term: int
+    received: str
+    applied: str
+    lag_s: float | None
+    seen_s_ago: float
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupLine:
+    """Show one group as this proxy sees it."""
+
+    term: int
+    primary: str | None
+    confirmed_s_ago: float | None
+    majority_position: str
+    targets: dict[str, TargetLine]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolLine:
+    """Show the connections to one target."""
+
+    limit: int
+    open: int
+    busy: int
+    waiting: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLine:
+    """Show one live proxy as this one sees it."""
+
+    failure_domain: str
+    region: str
+    endpoint: str
+    connected: bool
+
+
+def register(proxy: "Proxy") -> Pages:
+    """Return the pages of a proxy."""
+    pages = Pages()
+    _register_sections(proxy, pages)
+    _register_conditions(proxy, pages)
+    _register_commands(proxy, pages)
+    register_relay(pages, proxy.bus, proxy.cfg.vm)
+    pages.gauges(lambda: _set_gauges(proxy))
+    return pages
+
+
+def _register_sections(proxy: "Proxy", pages: Pages) -> None:
+    pages.section("proxy")(lambda: _proxy(proxy))
+    pages.section("services")(proxy.config.status)
+    pages.section("groups")(lambda: _groups(proxy))
+    pages.section("peers")(lambda: _peers(proxy))
+    pages.section("pools")(lambda: _pools(proxy))
+    pages.section("shares")(lambda: _shares(proxy))
+
+
+def _register_conditions(proxy: "Proxy", pages: Pages) -> None:
+    pages.condition("services are known")(lambda: proxy.config.complete)
+    pages.condition("the proxy does not drain")(lambda: not proxy.draining)
+
+
+def _register_commands(proxy: "Proxy", pages: Pages) -> None:
+    @pages.command("drain")
+    async def drain(_args: t.Mapping[str, str]) -> dict[str, t.Any]:
+        proxy.begin_drain()
+        return {"draining": True, "deadline_s": proxy.cfg.drain.deadline_s}
+
+    @pages.command("explain")
+    async def explain_statement(args: t.Mapping[str, str]) -> t.Any:
+        missing = {"service", "statement"} - args.keys()
+        if missing:
+            raise ValueError(f"missing: {', '.join(sorted(missing))}")
+        try:
+            return explain(proxy.parts, args["service"], args["statement"])
+        except Refusal as exc:
+            raise ValueError(str(exc)) from exc
+
+
+def _proxy(proxy: "Proxy") -> dict[str, t.Any]:
+    cfg: ProxySettings = proxy.cfg
+    return {
+        "vm": cfg.vm,
+        "version": rosemaryridge.__version__,
+        "failure_domain": cfg.failure_domain,
+        "region": cfg.region,
+        "callers_endpoint": str(cfg.callers.listen),
+        "peers_endpoint": str(cfg.peers.listen),
+        "admin_endpoint": str(cfg.admin.listen),
+        "callers": proxy.server.callers,
+        "draining": proxy.draining,
+        "cached_statements_hits": proxy.parts.statements.hits,
+        "cached_statements_misses": proxy.parts.statements.misses,
+    }
+
+
+def _groups(proxy: "Proxy") -> dict[str, GroupLine]:
+    now = proxy.timer.now()
+    views = {name: proxy.group.view(name) for name in proxy.config.current()}
+    return {name: _group(proxy, view, now) for name, view in views.items()}
+
+
+def _group(proxy: "Proxy", view: GroupView, now: float) -> GroupLine:
+    confirmed_s = now - view.confirmed_at
+    return GroupLine(
+        view.term,
+        view.primary,
+        round(confirmed_s, 3) if confirmed_s < float("inf") else None,
+        str(view.majority_position),
+        {name: _target(proxy, view, name, now) for name in sorted(view.statuses)},
+    )
+
+
+def _target(proxy: "Proxy", view: GroupView, name: str, now: float) -> TargetLine:
+    seen = view.statuses[name]
+    status = seen.status
+    lag_s = proxy.router.age_s(view.service, status.applied, now)
+    return TargetLine(
+        status.role.value,
+        status.term,
+        str(status.received),
+        str(status.applied),
+        round(lag_s, 3) if lag_s < float("inf") else None,
+        round(now - seen.seen_at, 3),
+        status.leaving or proxy.membership.target_leaving(name),
+    )
+
+
+def _peers(proxy: "Proxy") -> dict[str, t.Any]:
+    connected = frozenset(proxy.bus.peers())
+    lines = {
+        member.vm: PeerLine(
+            member.failure_domain,
+            member.region,
+            str(member.endpoint),
+            member.vm in connected,
+        )
+        for member in proxy.membership.live()
+    }
+    return {"live": lines, "stats": dataclasses.asdict(proxy.bus.stats)}
+
+
+def _pools(proxy: "Proxy") -> dict[str, dict[str, PoolLine]]:
+    found: dict[str, dict[str, PoolLine]] = {}
+    for (service, target), pool in sorted(proxy.pools.pools().items()):
+        slots = pool.slots
+        line = PoolLine(slots.limit, pool.open_connections, slots.busy, slots.waiting)
+        found.setdefault(service, {})[target] = line
+    return found
+
+
+def _shares(proxy: "Proxy") -> dict[str, dict[str, dict[str, int]]]:
+    found: dict[str, dict[str, dict[str, int]]] = {}
+    for (name, target), pool in sorted(proxy.pools.pools().items()):
+        service = proxy.config.current().get(name)
+        businesses = service.businesses if service else ()
+        found.setdefault(name, {})[target] = {
+            business.name: pool.slots.guaranteed(business.name)
+            for business in businesses
+        }
+    return found
+
+
+def _set_gauges(proxy: "Proxy") -> None:
+    metrics = proxy.metrics
+    for service, group in _groups(proxy).items():
+        metrics.set(GROUP_TERM, group.term, service)
+        for name, line in group.targets.items():
+            if line.lag_s is not None:
+                metrics.set(TARGET_LAG, line.lag_s, service, name)
+    for service, targets in _pools(proxy).items():
+        for name, pool in targets.items():
+            for state in ("limit", "open", "busy", "waiting"):
+                value = getattr(pool, state)
+                metrics.set(POOL_CONNECTIONS, value, service, name, state)
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+import typing as t
 
 from rosemaryridge.config import ConfigService
 from rosemaryridge.config import ProxySettings
@@ -15,11 +16,13 @@
 from rosemaryridge.pool import LeaseService
 from rosemaryridge.pool import Pools
 from rosemaryridge.pool import RetryBudget
+from rosemaryridge.proxy._admin import register
 from rosemaryridge.proxy._connect import Connector
 from rosemaryridge.proxy._factory import SessionFactory
 from rosemaryridge.proxy._interim import InterimDirectory
 from rosemaryridge.proxy._parts import Parts
 from rosemaryridge.routing import Router
+from rosemaryridge.telemetry import AdminServer
 from rosemaryridge.telemetry import Log
 from rosemaryridge.telemetry import Metrics
 from rosemaryridge.timer import LoopTimer
@@ -61,6 +64,9 @@
         self.router = self._router()
         self.parts = self._parts()
         self.server = CallerServer(SessionFactory(self.parts), _limits(cfg))
+        self.draining = False
+        self.admin = AdminServer(cfg.admin.listen, self.metrics, register(self))
+        self.on_drain: t.Callable[[], None] = lambda: None
         self.config.on_change(self.adopt)
 
     def _membership(self) -> Membership:
@@ -151,8 +157,13 @@
         self.parts.adopt(service)
         log.info("A service is served.", service=service.name)
 
+    def begin_drain(self) -> None:
+        """Ask the process to drain and end."""
+        self.on_drain()
+
     async def start(self) -> None:
         """Start the parts, the callers' listener last."""
+        await self.admin.start()
         await self.bus.start()
         await self.membership.start()
         await self.config.start()
@@ -165,6 +176,7 @@
     async def stop(self) -> None:
         """Let open transactions end by the deadline, then stop in reverse order."""
         log.info("The proxy drains.")
+        self.draining = True
         self.membership.drain()
         self.server.drain()
         try:
@@ -185,6 +197,7 @@
         self.port.close()
         await self.bus.stop()
         await self.store.close()
+        await self.admin.stop()
 
 
 def _identity(cfg: ProxySettings) -> PeerIdentity:
--- a/src/rosemaryridge/telemetry/__init__.py
+++ b/src/rosemaryridge/telemetry/__init__.py
@@ -1,10 +1,12 @@
 """Log, count and report health."""
 
+from rosemaryridge.telemetry._admin import AdminServer
 from rosemaryridge.telemetry._level import LogLevel
 from rosemaryridge.telemetry._log import Log
 from rosemaryridge.telemetry._log import change_logging
 from rosemaryridge.telemetry._log import start_logging
 from rosemaryridge.telemetry._metrics import Metrics
+from rosemaryridge.telemetry._pages import Pages
 from rosemaryridge.telemetry._redact import redact_error
 from rosemaryridge.telemetry._redact import redact_statement
 from rosemaryridge.telemetry._specs import GROUP_TERM
@@ -37,11 +39,13 @@
     "STORE_CALLS",
     "STORE_SECONDS",
     "TARGET_LAG",
+    "AdminServer",
     "Log",
     "LogLevel",
     "MetricKind",
     "MetricSpec",
     "Metrics",
+    "Pages",
     "all_metrics",
     "change_logging",
     "counter",
--- a/src/rosemaryridge/telemetry/_specs.py
+++ b/src/rosemaryridge/telemetry/_specs.py
@@ -99,10 +99,17 @@
 )
 GROUP_TERM = gauge("group_term", "Term of the group's primary.", "service")
 TARGET_LAG = gauge(
-    "target_lag_seconds", "Age of the data that a target has applied.", "target"
+    "target_lag_seconds",
+    "Greatest age of the data that a target has applied.",
+    "service",
+    "target",
 )
 POOL_CONNECTIONS = gauge(
-    "pool_connections", "Connections to a target by state.", "target", "state"
+    "pool_connections",
+    "Connections to a target: limit, open and busy, and requests waiting for one.",
+    "service",
+    "target",
+    "state",
 )
 SERVICE_REVISION = gauge(
     "service_revision", "Revision of a service that is in force.", "service"
