Follow published services through the watchers

Cause: each proxy polled the object API for the services. Change: ConfigService takes the place of the interim poll; the watchers are the holders of one key. Conclusion: the wire tests pass on it.

--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -34,6 +34,7 @@
 _CONTROL_DATABASE = "postgres"
 _BACKLOG = 1024
 _WATCH_KEY = "watch/services"
+_SERVICES_KEY = "services"
 _GRANTOR_KEY = "grantor/connections"
 _GRANTOR_CANDIDATES = 3
 # A message holds one statement or its parameters.
@@ -92,6 +93,21 @@
             lambda: self.cfg.vm in self.membership.holders(_WATCH_KEY, cfg.watchers),
         )
 
+    def _config(self) -> ConfigService:
+        return ConfigService(
+            self.cfg.services,
+            self.timer,
+            self.rng,
+            self.store,
+            self.bus,
+            self.metrics,
+            self._watches_services,
+        )
+
+    def _watches_services(self) -> bool:
+        watchers = self.membership.holders(_SERVICES_KEY, self.cfg.services.watchers)
+        return self.cfg.vm in watchers
+
     def _group(self) -> GroupService:
         return GroupService(
             self.cfg.group,
