--- a/src/rosemaryridge_testbed/fleet/_fleet.py
+++ b/src/rosemaryridge_testbed/fleet/_fleet.py
@@ -10,7 +10,6 @@
 import aiohttp
 import asyncpg
 
-from rosemaryridge.cli.proxy import main as proxy_command
 from rosemaryridge.config import encode_service
 from rosemaryridge_testbed.fleet._admin import Admin
 from rosemaryridge_testbed.fleet._options import DOMAINS
@@ -164,13 +163,7 @@
         settings = proxy_settings(vm, index, self.ports, self.options)
         path = self.directory / f"{vm}.json"
         path.write_text(json.dumps(settings, indent=2))
-        args = ["--settings", str(path)]
-        if any(param.name == "services" for param in proxy_command.params):
-            file = self.directory / "service.json"
-            service = service_config(self.options, self._public_ports())
-            file.write_bytes(encode_service(service))
-            args += ["--service", str(file)]
-        self.processes.start(vm, _PROXY, *args)
+        self.processes.start(vm, _PROXY, "--settings", str(path))
 
     async def _answers(self, vm: str) -> bool:
         if self.processes.exit_status(vm) is not None:
--- a/src/rosemaryridge_testbed/target/_sql.py
+++ b/src/rosemaryridge_testbed/target/_sql.py
@@ -198,9 +198,10 @@
 
 
 def _query_columns(tree: exp.Query, schema: Schema) -> tuple[ResultColumn, ...]:
+    typed = _named(tree)
     try:
         typed = qualify(
-            tree.copy(),
+            typed,
             schema=schema,
             dialect="postgres",
             validate_qualify_columns=False,
@@ -209,16 +210,25 @@
         typed = annotate_types(typed, schema=schema, dialect="postgres")
     except sqlglot.errors.SqlglotError:
         typed = tree
-    given = [select.output_name for select in tree.selects]
-    starred = any(select.is_star for select in tree.selects)
+    series = tree.find(exp.ExplodingGenerateSeries) is not None
     columns = []
-    for index, select in enumerate(typed.selects):
-        name = select.alias_or_name if starred else given[index]
-        name = name or _function_name(tree.selects[index])
-        columns.append(ResultColumn(name, oid_of(select.type)))
+    for select in typed.selects:
+        unknown = select.type is None or select.type.this == exp.DataType.Type.UNKNOWN
+        oid = oids.INT4 if series and unknown else oid_of(select.type)
+        columns.append(ResultColumn(select.alias_or_name, oid))
     return tuple(columns)
 
 
+def _named(tree: exp.Query) -> exp.Query:
+    copy = tree.copy()
+    for select in copy.selects:
+        if not select.is_star and not isinstance(select, exp.Column | exp.Alias):
+            select.replace(
+                exp.alias_(select.copy(), _function_name(select), quoted=True)
+            )
+    return copy
+
+
 def _function_name(select: exp.Expression) -> str:
     if isinstance(select, exp.Anonymous):
         return select.name.lower()
@@ -239,6 +249,8 @@
     parent = node.parent
     if isinstance(parent, exp.Cast):
         return oid_of(parent.to)
+    if isinstance(parent, exp.ExplodingGenerateSeries):
+        return oids.INT4
     if isinstance(parent, exp.Limit | exp.Offset):
         return oids.INT8
     if isinstance(parent, exp.Anonymous) and parent.name.lower() == "pg_sleep":
