Check, compare, publish and roll forward service files

Operators keep a file beside each service's code and race one another. The publishing step collects files, checks them together and with what is already published, and updates conditionally over the revision that it has shown; the loser sees the other change, who made it and when. A lost answer is read back. A revision is put into the history before it is replaced, so that any earlier content can be published again. Exit statuses come from the numbered codes.

--- /dev/null
+++ b/src/rosemaryridge/cli/publish.py
@@ -0,0 +1,287 @@
+"""Check service files and publish them to every proxy."""
+
+import contextlib
+import datetime
+import getpass
+import random
+import sys
+import typing as t
+
+import click
+
+from rosemaryridge import codes
+from rosemaryridge.cli._collect import check_with_published
+from rosemaryridge.cli._collect import collect
+from rosemaryridge.cli._common import asynchronous
+from rosemaryridge.cli._common import code_of
+from rosemaryridge.cli._common import describe
+from rosemaryridge.cli._common import exit_status
+from rosemaryridge.cli._common import fail
+from rosemaryridge.cli._common import table
+from rosemaryridge.cli._common import version_option
+from rosemaryridge.config import Difference
+from rosemaryridge.config import Plan
+from rosemaryridge.config import Publication
+from rosemaryridge.config import Publisher
+from rosemaryridge.config import Revision
+from rosemaryridge.config import RevisionConflict
+from rosemaryridge.config import SourcedService
+from rosemaryridge.config import differences
+from rosemaryridge.config import find_revision
+from rosemaryridge.exceptions import Refusal
+from rosemaryridge.exceptions import SettingsError
+from rosemaryridge.exceptions import StoreError
+from rosemaryridge.platform import HttpObjectStore
+from rosemaryridge.platform import PlatformSettings
+from rosemaryridge.telemetry import Metrics
+from rosemaryridge.timer import LoopTimer
+from rosemaryridge.wire import Verifier
+
+_CALLS_PER_S = 50
+_CALL_BURST = 100
+_SHOWN_CHANGES = 3
+
+platform_option = click.option(
+    "--platform",
+    "base_url",
+    required=True,
+    envvar="ROSEMARYRIDGE_PLATFORM",
+    help="Base URL of the platform's object API.",
+)
+timeout_option = click.option(
+    "--timeout",
+    "total_s",
+    default=30.0,
+    show_default=True,
+    help="Seconds to go on trying one call while the object API is down.",
+)
+by_option = click.option(
+    "--by", default=getpass.getuser, help="Who publishes; by default the login name."
+)
+paths_argument = click.argument(
+    "paths", nargs=-1, required=True, type=click.Path(exists=True)
+)
+
+
+@contextlib.asynccontextmanager
+async def _open(base_url: str, total_s: float) -> t.AsyncIterator[Publisher]:
+    cfg = PlatformSettings(
+        base_url=base_url, calls_per_s=_CALLS_PER_S, call_burst=_CALL_BURST
+    )
+    timer = LoopTimer()
+    store = HttpObjectStore(cfg, timer, Metrics())
+    try:
+        yield Publisher(store, timer, random.Random(), total_s)
+    finally:
+        await store.close()
+
+
+@click.group()
+@version_option
+def main() -> None:
+    """Check service files and publish them to every proxy.
+
+    PATHS are files, or directories that are searched for *.service.json. The exit
+    status tells what went wrong; docs/CODES.md lists them.
+    """
+
+
+@main.command()
+@paths_argument
+def check(paths: tuple[str, ...]) -> None:
+    """Check files, each and all together, without the platform."""
+    try:
+        sources = collect(paths)
+    except SettingsError as exc:
+        fail(exc)
+    click.echo(f"{len(sources)} service files are correct.")
+
+
+@main.command()
+@paths_argument
+@platform_option
+@timeout_option
+@asynchronous
+async def diff(paths: tuple[str, ...], base_url: str, total_s: float) -> None:
+    """Show what publishing the files would change."""
+    sources = collect(paths)
+    async with _open(base_url, total_s) as publisher:
+        for plan in await _plans(publisher, sources):
+            _show_plan(plan)
+
+
+@main.command()
+@paths_argument
+@platform_option
+@timeout_option
+@by_option
+@click.option("--note", default="", help="Why; it is kept in the history.")
+@click.option(
+    "--expect",
+    multiple=True,
+    metavar="SERVICE=REVISION",
+    help="Refuse where another revision is published.",
+)
+@click.option("--yes", is_flag=True, help="Publish without asking.")
+@asynchronous
+async def publish(
+    paths: tuple[str, ...],
+    base_url: str,
+    total_s: float,
+    by: str,
+    note: str,
+    expect: tuple[str, ...],
+    yes: bool,
+) -> None:
+    """Publish the files, each over the revision that was shown."""
+    sources = collect(paths)
+    expected = _expected(expect)
+    async with _open(base_url, total_s) as publisher:
+        plans = await _plans(publisher, sources)
+        _check_expected(plans, expected)
+        for plan in plans:
+            _show_plan(plan)
+        changed = [plan for plan in plans if plan.changes]
+        if changed and not yes:
+            click.confirm(f"Publish {len(changed)} services?", abort=True)
+        await _publish_all(publisher, changed, _publication(by, note))
+
+
+@main.command()
+@click.argument("service")
+@platform_option
+@timeout_option
+@asynchronous
+async def history(service: str, base_url: str, total_s: float) -> None:
+    """Show a service's revisions, newest first."""
+    async with _open(base_url, total_s) as publisher:
+        revisions = await publisher.history(service)
+    _require(revisions, service)
+    rows = [_history_row(*pair) for pair in _with_previous(revisions)]
+    click.echo(table(("revision", "at", "by", "changes", "note"), rows))
+
+
+@main.command("roll-forward")
+@click.argument("service")
+@click.argument("revision", type=int)
+@platform_option
+@timeout_option
+@by_option
+@click.option("--yes", is_flag=True, help="Publish without asking.")
+@asynchronous
+async def roll_forward(
+    service: str, revision: int, base_url: str, total_s: float, by: str, yes: bool
+) -> None:
+    """Publish the content of an earlier REVISION as a new one."""
+    async with _open(base_url, total_s) as publisher:
+        past = find_revision(await publisher.history(service), revision)
+        if past is None:
+            raise click.UsageError(f"{service} has no revision {revision}.")
+        source = SourcedService(f"revision {revision}", past.service())
+        (plan,) = await _plans(publisher, [source])
+        _show_plan(plan)
+        if plan.changes and not yes:
+            click.confirm(f"Publish {service} again as of {revision}?", abort=True)
+        note = f"content of revision {revision}"
+        await _publish_all(publisher, [plan], _publication(by, note))
+
+
+@main.command()
+@click.password_option(help="Password of the account; by default it is asked for.")
+def verifier(password: str) -> None:
+    """Print the verifier of a password for a service file's account."""
+    click.echo(str(Verifier.of_password(password)))
+
+
+async def _plans(
+    publisher: Publisher, sources: t.Sequence[SourcedService]
+) -> list[Plan]:
+    check_with_published(sources, await publisher.published())
+    return [await publisher.plan(source.service) for source in sources]
+
+
+async def _publish_all(
+    publisher: Publisher, plans: t.Sequence[Plan], publication: Publication
+) -> None:
+    worst = 0
+    for plan in plans:
+        try:
+            revision = await publisher.publish(plan, publication)
+            click.echo(f"{plan.service.name}: revision {revision} is published.")
+        except (Refusal, StoreError) as exc:
+            worst = max(worst, _report(plan, exc))
+    if worst:
+        sys.exit(worst)
+
+
+def _report(plan: Plan, exc: Refusal | StoreError) -> int:
+    code = code_of(exc) or codes.platform.STORE_DOWN
+    click.echo(f"{plan.service.name}: {describe(exc, code)}", err=True)
+    if isinstance(exc, RevisionConflict):
+        click.echo("The other change:", err=True)
+        _show_changes(exc.changes, err=True)
+    return exit_status(code)
+
+
+def _publication(by: str, note: str) -> Publication:
+    at = datetime.datetime.now(datetime.UTC).isoformat(timespec="milliseconds")
+    return Publication(by, at, note)
+
+
+def _expected(options: tuple[str, ...]) -> dict[str, int]:
+    expected = {}
+    for option in options:
+        name, _, revision = option.rpartition("=")
+        if not name or not revision.isdigit():
+            raise click.UsageError(f"--expect {option}: not SERVICE=REVISION")
+        expected[name] = int(revision)
+    return expected
+
+
+def _check_expected(plans: t.Iterable[Plan], expected: dict[str, int]) -> None:
+    for plan in plans:
+        name, stored = plan.service.name, plan.base.version
+        wanted = expected.get(name, stored)
+        if stored != wanted:
+            detail = f"{name}: revision {stored} is published, not {wanted}"
+            raise Refusal(codes.config.REVISION_CONFLICT, detail)
+
+
+def _show_plan(plan: Plan) -> None:
+    name, stored = plan.service.name, plan.base.version
+    if not plan.changes:
+        click.echo(f"{name}: unchanged, revision {stored}")
+        return
+    click.echo(f"{name}: changes over revision {stored}" if stored else f"{name}: new")
+    _show_changes(plan.changes)
+
+
+def _show_changes(changes: t.Iterable[Difference], err: bool = False) -> None:
+    for change in changes:
+        click.echo(f"  {change}", err=err)
+
+
+def _require(revisions: t.Sequence[Revision], service: str) -> None:
+    if not revisions:
+        raise click.UsageError(f"{service} was never published.")
+
+
+def _with_previous(
+    revisions: t.Sequence[Revision],
+) -> t.Iterator[tuple[Revision, dict[str, t.Any]]]:
+    for position, revision in enumerate(revisions):
+        later = revisions[position + 1 : position + 2]
+        yield revision, later[0].document if later else {}
+
+
+def _history_row(revision: Revision, previous: dict[str, t.Any]) -> tuple[t.Any, ...]:
+    by = revision.publication
+    changes = differences(previous, revision.document)
+    paths = [change.path for change in changes[:_SHOWN_CHANGES]]
+    more = len(changes) - len(paths)
+    text = ", ".join(paths) + (f" and {more} more" if more > 0 else "")
+    return revision.revision, by.at or None, by.by or None, text, by.note or None
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rosemaryridge/config/__init__.py
+++ b/src/rosemaryridge/config/__init__.py
@@ -1,12 +1,22 @@
 """Check, publish and adopt configuration."""
 
+from rosemaryridge.config._across import SourcedService
+from rosemaryridge.config._across import check_across
 from rosemaryridge.config._check import Fault
+from rosemaryridge.config._difference import Difference
+from rosemaryridge.config._difference import differences
 from rosemaryridge.config._follower import ConfigService
 from rosemaryridge.config._load import decode_service
 from rosemaryridge.config._load import encode_service
 from rosemaryridge.config._load import load_service
 from rosemaryridge.config._load import load_settings
 from rosemaryridge.config._load import to_plain
+from rosemaryridge.config._publication import Publication
+from rosemaryridge.config._publication import Revision
+from rosemaryridge.config._publisher import Plan
+from rosemaryridge.config._publisher import Publisher
+from rosemaryridge.config._publisher import RevisionConflict
+from rosemaryridge.config._publisher import find_revision
 from rosemaryridge.config._service import AccountConfig
 from rosemaryridge.config._service import BusinessConfig
 from rosemaryridge.config._service import Priority
@@ -31,8 +41,9 @@
     "AccountConfig",
     "AdminSettings",
     "BusinessConfig",
-    "ConfigService",
     "CallersSettings",
+    "ConfigService",
+    "Difference",
     "DrainSettings",
     "Fault",
     "FaultSettings",
@@ -40,17 +51,26 @@
     "LogSettings",
     "MembershipSettings",
     "PeersSettings",
+    "Plan",
     "PlatformSettings",
     "PoolSettings",
     "Priority",
     "ProxySettings",
+    "Publication",
+    "Publisher",
     "RequestRule",
+    "Revision",
+    "RevisionConflict",
     "ServiceConfig",
     "ServicesSettings",
+    "SourcedService",
     "TargetConfig",
     "TargetsSettings",
+    "check_across",
     "decode_service",
+    "differences",
     "encode_service",
+    "find_revision",
     "load_service",
     "load_settings",
     "to_plain",
--- a/src/rosemaryridge/config/_load.py
+++ b/src/rosemaryridge/config/_load.py
@@ -17,6 +17,9 @@
 from rosemaryridge.fields import note_of
 from rosemaryridge.model import Endpoint
 
+# What the publishing step adds to a stored service.
+PUBLICATION_KEY = "publication"
+
 _PathLike = str | pathlib.Path
 
 
@@ -43,6 +46,8 @@
         document = msgspec.json.decode(value)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise SettingsError((Fault(name, "(document)", str(exc), "JSON"),)) from exc
+    if isinstance(document, dict):
+        document.pop(PUBLICATION_KEY, None)
     return _build(Checker(name, revision=revision), ServiceConfig, document)
 
 
--- a/src/rosemaryridge/platform/__init__.py
+++ b/src/rosemaryridge/platform/__init__.py
@@ -5,6 +5,7 @@
 from rosemaryridge.platform._api import VmRecord
 from rosemaryridge.platform._budget import CallBudget
 from rosemaryridge.platform._confirm import put_confirmed
+from rosemaryridge.platform._confirm import read_patiently
 from rosemaryridge.platform._http import MAX_VALUE_BYTES
 from rosemaryridge.platform._http import HttpObjectStore
 from rosemaryridge.platform._settings import PlatformSettings
@@ -18,4 +19,5 @@
     "StoredObject",
     "VmRecord",
     "put_confirmed",
+    "read_patiently",
 ]
--- a/src/rosemaryridge/platform/_confirm.py
+++ b/src/rosemaryridge/platform/_confirm.py
@@ -66,6 +66,19 @@
                 return _outcome(wanted, stored)
 
 
+async def read_patiently(
+    store: ObjectStore,
+    kind: str,
+    name: str,
+    timer: TimerService,
+    rng: random.Random,
+    total_s: float,
+) -> StoredObject:
+    """Return an object; raise StoreUnavailable where none came in `total_s`."""
+    wanted = StoredObject(kind, name, 0, b"")
+    return await _read(store, wanted, _Patience(timer, rng, total_s))
+
+
 async def _put(store: ObjectStore, wanted: StoredObject) -> int:
     return await store.put(wanted.kind, wanted.name, wanted.value, wanted.version)
 
