Publish against real proxies through races, outages and lost answers

Six tests with four proxies, three targets and a stand-in for the platform: four operators race and one wins; an outage right after acceptance; two lost answers in a row; a proxy killed and restarted in an outage; a revision that is not accepted; ninety changes by three operators, sampled on every proxy for a step back.

--- a/src/rosemaryridge/cli/__init__.py
+++ b/src/rosemaryridge/cli/__init__.py
@@ -1,1 +1,1 @@
-"""TODO."""
+"""Offer the programs of the command line."""
--- a/tests/integration/fleet_case.py
+++ b/tests/integration/fleet_case.py
@@ -39,9 +39,13 @@
     async def prepare(cls):
         """Set the fleet up, once."""
 
+    async def begin(self):
+        """Prepare each test."""
+
     def _callTestMethod(self, method):  # noqa: N802
         async def bounded():
             async with asyncio.timeout(_TEST_TIMEOUT_S):
+                await self.begin()
                 await method()
 
         self._runner.run(bounded())
--- /dev/null
+++ b/tests/integration/test_publish.py
@@ -0,0 +1,197 @@
+"""Publish with real processes through races, outages and lost answers."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import random
+import sys
+import unittest
+
+from rosemaryridge import codes
+from rosemaryridge.cli._common import exit_status
+from rosemaryridge.config import Publication
+from rosemaryridge.config import Publisher
+from rosemaryridge.config import ServiceConfig
+from rosemaryridge.config import decode_service
+from rosemaryridge.config import encode_service
+from rosemaryridge.config import to_plain
+from rosemaryridge.exceptions import Refusal
+from rosemaryridge.platform import HttpObjectStore
+from rosemaryridge.platform import PlatformSettings
+from rosemaryridge.telemetry import Metrics
+from rosemaryridge.timer import LoopTimer
+from rosemaryridge_testbed.fleet import SERVICE
+from rosemaryridge_testbed.fleet import FleetOptions
+from rosemaryridge_testbed.fleet import eventually
+from tests.integration.fleet_case import FleetCase
+
+# An accepted revision must be in force within seconds, also on a busy machine.
+IN_FORCE_S = 20.0
+CONFLICT = exit_status(codes.config.REVISION_CONFLICT)
+
+
+class PublishTest(FleetCase):
+    options = FleetOptions(proxies=4, settings={"services": {"watchers": 2}})
+
+    @classmethod
+    async def prepare(cls):
+        cls.url = f"http://127.0.0.1:{cls.fleet.ports['platform']}"
+        cfg = PlatformSettings(cls.url, calls_per_s=1000, call_burst=1000)
+        cls.store = HttpObjectStore(cfg, LoopTimer(), Metrics())
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.addClassCleanup(lambda: cls._runner.run(cls.store.close()))
+
+    async def begin(self):
+        await self.fleet.admin.set_platform(outage=False, lose_answers=0)
+        await self.in_force((await self.stored()).revision)
+
+    async def stored(self) -> ServiceConfig:
+        one = await self.store.get("service", SERVICE)
+        return decode_service(one.value, one.version)
+
+    async def write_file(self, deadline_s: float) -> pathlib.Path:
+        """Write the published service with another deadline as a service file."""
+        service = dataclasses.replace(
+            await self.stored(), default_deadline_s=deadline_s
+        )
+        path = self.fleet.directory / f"{deadline_s}.service.json"
+        path.write_text(json.dumps(to_plain(service)))
+        return path
+
+    async def publish(self, path: pathlib.Path, *options: str) -> tuple[int, str]:
+        """Run the publishing program; return its exit status and output."""
+        command = [sys.executable, "-m", "rosemaryridge.cli.publish", "publish"]
+        command += [str(path), "--platform", self.url, "--yes", *options]
+        proc = await asyncio.create_subprocess_exec(
+            *command,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await proc.communicate()
+        return proc.returncode, output.decode()
+
+    async def services(self, vm: str) -> dict:
+        page = await self.fleet.admin.proxy_page(vm, "/status/services")
+        return json.loads(page)["services"]
+
+    async def revision(self, vm: str) -> int:
+        """Return the revision that is in force on a proxy."""
+        return (await self.services(vm))["services"].get(SERVICE, {}).get("revision", 0)
+
+    async def in_force(self, revision: int, vms: list[str] | None = None) -> None:
+        for vm in vms or self.fleet.proxies:
+            await eventually(
+                lambda vm=vm: self._is_in_force(vm, revision),
+                IN_FORCE_S,
+                f"revision {revision} on {vm}",
+            )
+
+    async def _is_in_force(self, vm: str, revision: int) -> bool:
+        return await self.revision(vm) == revision
+
+    async def test_one_operator_wins_a_race_and_the_others_see_why(self):
+        base = (await self.stored()).revision
+        paths = [await self.write_file(float(n)) for n in (11, 12, 13, 14)]
+        runs = [
+            self.publish(path, "--expect", f"{SERVICE}={base}", "--by", path.stem)
+            for path in paths
+        ]
+        results = await asyncio.gather(*runs)
+        statuses = sorted(status for status, _ in results)
+        self.assertEqual(statuses, [0, CONFLICT, CONFLICT, CONFLICT], results)
+        winner = next(path for path, r in zip(paths, results, strict=True) if not r[0])
+        stored = await self.stored()
+        self.assertEqual(str(stored.default_deadline_s), winner.stem[:4])
+        losers = [output for status, output in results if status]
+        for output in losers:
+            self.assertIn(f"{stored.revision}", output)
+        await self.in_force(stored.revision)
+
+    async def test_an_outage_right_after_acceptance_does_not_stop_it(self):
+        status, output = await self.publish(await self.write_file(21.0))
+        self.assertEqual(status, 0, output)
+        revision = (await self.stored()).revision
+        await self.fleet.admin.set_platform(outage=True)
+        await self.in_force(revision)
+
+    async def test_lost_answers_are_read_back(self):
+        base = (await self.stored()).revision
+        path = await self.write_file(31.0)
+        await self.fleet.admin.set_platform(lose_answers=2)
+        status, output = await self.publish(path)
+        self.assertEqual(status, 0, output)
+        stored = await self.stored()
+        self.assertIn(f"revision {stored.revision} is published", output)
+        self.assertGreater(stored.revision, base)
+        await self.in_force(stored.revision)
+        publisher = Publisher(self.store, LoopTimer(), random.Random(1), 10.0)
+        history = await publisher.history(SERVICE)
+        self.assertEqual([one.revision for one in history][:2], [stored.revision, base])
+
+    async def test_a_proxy_restarted_in_an_outage_starts_from_its_peers(self):
+        status, output = await self.publish(await self.write_file(41.0))
+        self.assertEqual(status, 0, output)
+        revision = (await self.stored()).revision
+        await self.in_force(revision)
+        await self.fleet.admin.set_platform(outage=True)
+        self.fleet.processes.kill("p2")
+        self.fleet.processes.restart("p2")
+        await self.in_force(revision, ["p2"])
+        conn = await eventually(lambda: self.fleet.connect("p2"), IN_FORCE_S)
+        self.assertEqual(await conn.fetchval("SELECT 1"), 1)
+        conn.terminate()
+
+    async def test_a_revision_that_is_not_accepted_leaves_the_one_in_force(self):
+        service = await self.stored()
+        before = service.revision
+        await self.store.put("service", SERVICE, b'{"name": "shop"}', before)
+        for vm in self.fleet.proxies:
+            await eventually(lambda vm=vm: self._has_rejected(vm), IN_FORCE_S, vm)
+            self.assertEqual(await self.revision(vm), before)
+            page = await self.fleet.admin.proxy_page(vm, "/metrics")
+            self.assertIn('refusals_total{code="revision_rejected"', page)
+        broken = await self.store.get("service", SERVICE)
+        mended = encode_service(service)
+        after = await self.store.put("service", SERVICE, mended, broken.version)
+        await self.in_force(after)
+
+    async def _has_rejected(self, vm: str) -> bool:
+        return bool((await self.services(vm))["services"][SERVICE]["rejected"])
+
+    async def test_a_flood_of_changes_ends_at_the_newest_and_never_reverts(self):
+        seen = {vm: [] for vm in self.fleet.proxies}
+        sampling = asyncio.create_task(self._sample(seen))
+        await asyncio.gather(*(self._flood(operator) for operator in range(3)))
+        newest = (await self.stored()).revision
+        await self.in_force(newest)
+        sampling.cancel()
+        for vm, revisions in seen.items():
+            self.assertEqual(revisions, sorted(revisions), vm)
+            self.assertGreater(len(revisions), 2, vm)
+
+    async def _sample(self, seen: dict[str, list[int]]) -> None:
+        while True:
+            for vm, revisions in seen.items():
+                revisions.append(await self.revision(vm))
+            await asyncio.sleep(0.02)
+
+    async def _flood(self, operator: int) -> None:
+        """Publish many changes against other operators; conflicts are expected."""
+        publisher = Publisher(self.store, LoopTimer(), random.Random(operator), 10.0)
+        service = await self.stored()
+        for number in range(30):
+            deadline_s = 100.0 + operator + number * 3
+            changed = dataclasses.replace(service, default_deadline_s=deadline_s)
+            plan = await publisher.plan(changed)
+            try:
+                await publisher.publish(plan, Publication(f"operator {operator}"))
+            except Refusal:
+                continue
+
+
+if __name__ == "__main__":
+    unittest.main()
