Replace a failed primary without an outside order

Cause: nobody else orders a promotion, and one proxy's bad link must not depose a healthy primary. Change: a pure aggregate weighs this proxy's polls, the replicas' silence and the other watchers' reports, then fences a majority at a higher term, promotes the target that holds the most and re-points the rest; the store only gets a hint afterwards. Proxies that do not watch a group ask a watcher. Conclusion: no step needs the store, and targets refuse what is stale.

--- a/src/rosemaryridge/group/_group.py
+++ b/src/rosemaryridge/group/_group.py
@@ -6,6 +6,7 @@
 from rosemaryridge.config import FaultSettings
 from rosemaryridge.config import GroupSettings
 from rosemaryridge.config import ServiceConfig
+from rosemaryridge.config import TargetConfig
 from rosemaryridge.group._acknowledge import AcknowledgeWindow
 from rosemaryridge.group._acknowledge import Settled
 from rosemaryridge.group._acknowledge import Waiter
@@ -62,10 +63,22 @@
             if name in self._pollers:
                 self._pollers[name].kick()
 
-    def announce(self, term: int, primary: str) -> None:
-        """Take in who was promoted."""
-        if self.view.announce(term, primary):
-            self._primary_changed()
+    def target(self, name: str) -> TargetConfig | None:
+        """Return a target's configuration, None where it is no longer one."""
+        poller = self._pollers.get(name)
+        return poller.target if poller else None
+
+    def led(self) -> None:
+        """Settle and tell those who wait, after a promotion by this proxy."""
+        self._settle()
+        self._primary_changed()
+
+    def announce(self, term: int, primary: str) -> bool:
+        """Take in who was promoted; return whether that is news."""
+        news = self.view.announce(term, primary)
+        if news:
+            self.led()
+        return news
 
     def observe(self, target: str, entry: ObservedStatus) -> None:
         """Take in a status and settle who waited for it."""
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -118,6 +118,9 @@
             self.store,
             self.metrics,
             self.cfg.faults,
+            self.cfg.vm,
+            self.membership.watchers,
+            self.membership.observe_target,
         )
 
     def _pools(self) -> Pools:
--- /dev/null
+++ b/src/rosemaryridge_testbed/experiments/_cluster.py
@@ -0,0 +1,137 @@
+"""Join a group's model targets and its watchers, and check what they did."""
+
+import dataclasses
+import random
+
+from rosemaryridge.config import GroupSettings
+from rosemaryridge.group import _events as ev
+from rosemaryridge.model import Role
+from rosemaryridge.timer import ManualTimer
+from rosemaryridge_testbed.experiments._network import Latency
+from rosemaryridge_testbed.experiments._network import Network
+from rosemaryridge_testbed.experiments._proxy import ModelProxy
+from rosemaryridge_testbed.experiments._target import ModelTarget
+
+TARGETS = ("a", "b", "c")
+PROXIES = ("p0", "p1", "p2")
+_DOMAINS = ("north", "east", "west")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Commit:
+    """Record when a write was committed and in which term."""
+
+    at: float
+    term: int
+
+
+class History:
+    """Record commits, acknowledgements and takeovers with their times."""
+
+    def __init__(self, timer: ManualTimer):
+        self.commits: dict[str, Commit] = {}
+        self.acks: dict[str, float] = {}
+        self.takeovers: list[tuple[float, ev.TakeoverBegan]] = []
+        self._timer = timer
+
+    def committed(self, value: str, term: int) -> None:
+        """Record a commit on a target."""
+        self.commits[value] = Commit(self._timer.now(), term)
+
+    def acknowledged(self, value: str, term: int) -> None:
+        """Record an answer to a caller."""
+        self.acks[value] = self._timer.now()
+
+    def began(self, effect: ev.TakeoverBegan) -> None:
+        """Record a takeover."""
+        self.takeovers.append((self._timer.now(), effect))
+
+
+class Cluster:
+    """Run three targets and their watchers, one of each in a failure domain."""
+
+    def __init__(
+        self,
+        seed: int,
+        latency: Latency | None = None,
+        cfg: GroupSettings | None = None,
+        acknowledge_early: bool = False,
+        skip_fencing: bool = False,
+        proxy_type: type[ModelProxy] = ModelProxy,
+    ):
+        self.rng = random.Random(seed)
+        self.cfg = cfg or GroupSettings()
+        self.timer = ManualTimer()
+        self.network = Network(self.timer, self.rng, latency or Latency())
+        self.history = History(self.timer)
+        self.leads: dict[int, set[str]] = {}
+        self.lead_times: dict[int, float] = {}
+        self.targets: dict[str, ModelTarget] = {}
+        self.proxies: dict[str, ModelProxy] = {}
+        self.writes = 0
+        nodes = zip(TARGETS + PROXIES, _DOMAINS * 2, strict=True)
+        self.network.domains.update(nodes)
+        self._add_targets()
+        for rank, vm in enumerate(PROXIES):
+            rng = random.Random(self.rng.getrandbits(32))
+            proxy = proxy_type(self, vm, rng, acknowledge_early, skip_fencing)
+            self.proxies[vm] = proxy
+            proxy.event(ev.Ranked(rank, len(PROXIES)))
+
+    def _add_targets(self) -> None:
+        for name in TARGETS:
+            self.targets[name] = ModelTarget(name, self.network, self.targets)
+            self.targets[name].upstream = "a"
+        self.targets["a"].role = Role.PRIMARY
+
+    def run(self, duration_s: float, write_every_s: float = 0.05) -> None:
+        """Move time on while every proxy writes."""
+        end = self.timer.now() + duration_s
+        while self.timer.now() < end:
+            for proxy in self.proxies.values():
+                self.writes += 1
+                proxy.write(f"w{self.writes}")
+            self.timer.advance(write_every_s)
+            self._note_leads()
+
+    def _note_leads(self) -> None:
+        for name, target in self.targets.items():
+            if target.role is Role.PRIMARY:
+                self.leads.setdefault(target.term, set()).add(name)
+                self.lead_times.setdefault(target.term, self.timer.now())
+
+    def primary(self) -> ModelTarget | None:
+        """Return the target that leads the highest term."""
+        leading = [one for one in self.targets.values() if one.writable]
+        return max(leading, key=lambda one: one.term, default=None)
+
+    def gap_s(self, fault_at: float) -> float:
+        """Return the time from a fault to the first write landed after it."""
+        times = [
+            at
+            for value, at in self.history.acks.items()
+            if self.history.commits[value].at > fault_at
+        ]
+        return min(times, default=float("inf")) - fault_at
+
+    def violations(self) -> tuple[str, ...]:
+        """Return every promise that was broken, judged with the network healed."""
+        found = [
+            f"term {term} has primaries {sorted(names)}"
+            for term, names in self.leads.items()
+            if len(names) > 1
+        ]
+        leader = self.primary()
+        kept = {entry.value for entry in leader.log} if leader else set()
+        lost = [value for value in self.history.acks if value not in kept]
+        found += [f"{value} was acknowledged and lost" for value in lost]
+        return tuple(found + self._late())
+
+    def _late(self) -> list[str]:
+        found = []
+        for value in self.history.acks:
+            commit = self.history.commits[value]
+            later = [at for term, at in self.lead_times.items() if term > commit.term]
+            if any(at < commit.at for at in later):
+                found.append(f"{value} was committed in a replaced term")
+        return found
