Look at groups, peers, pools, shares and revisions, explain and drain

rosemaryridge-ctl asks one proxy's admin port and, for the fleet, all others by way of it; it names who did not answer. Six tests run the program against three proxies, one of them paused.

--- /dev/null
+++ b/src/rosemaryridge/cli/ctl.py
@@ -0,0 +1,190 @@
+"""Look at proxies and drain them."""
+
+import asyncio
+import collections
+import functools
+import typing as t
+
+import click
+import msgspec
+
+from rosemaryridge.cli import _tables
+from rosemaryridge.cli._admin_client import open_admin
+from rosemaryridge.cli._common import asynchronous
+from rosemaryridge.cli._common import json_option
+from rosemaryridge.cli._common import table
+from rosemaryridge.cli._common import version_option
+from rosemaryridge.cli._fleet_view import FleetView
+from rosemaryridge.cli._fleet_view import collect_fleet
+from rosemaryridge.cli._reference import reference
+
+Show = t.Callable[[], t.Awaitable[str]]
+
+admin_option = click.option(
+    "--admin",
+    required=True,
+    envvar="ROSEMARYRIDGE_ADMIN",
+    help="Address of a proxy's admin port, as ip:port.",
+)
+timeout_option = click.option(
+    "--timeout", "timeout_s", default=5.0, show_default=True, help="Seconds to wait."
+)
+watch_option = click.option(
+    "--watch", "period_s", type=float, help="Show it again every so many seconds."
+)
+
+
+def _shown(command: t.Callable[..., t.Any]) -> t.Callable[..., t.Any]:
+    """Add the options of a command that shows something."""
+    options = (admin_option, timeout_option, json_option, watch_option)
+    for option in reversed(options):
+        command = option(command)
+    return command
+
+
+@click.group()
+@version_option
+def main() -> None:
+    """Look at proxies and drain them.
+
+    Every command asks one proxy's admin port; `fleet` and `revisions` ask all the
+    others by way of it. The exit status tells what went wrong; docs/CODES.md lists
+    them.
+    """
+
+
+main.add_command(reference)
+
+
+@main.command()
+@click.argument("section", type=click.Choice(_tables.sections()))
+@_shown
+@asynchronous
+async def status(
+    section: str, admin: str, timeout_s: float, as_json: bool, period_s: float | None
+) -> None:
+    """Show a SECTION of one proxy's status."""
+
+    async def show() -> str:
+        async with open_admin(admin, timeout_s) as client:
+            found = (await client.status(section))[section]
+        return _json(found) if as_json else _tables.render(section, found)
+
+    await _show(show, period_s)
+
+
+@main.command()
+@_shown
+@asynchronous
+async def fleet(
+    admin: str, timeout_s: float, as_json: bool, period_s: float | None
+) -> None:
+    """Show every proxy, and name those who did not answer."""
+    show = functools.partial(
+        _show_fleet, admin, timeout_s, as_json, ("proxy", "services"), _fleet_table
+    )
+    await _show(show, period_s)
+
+
+@main.command()
+@_shown
+@asynchronous
+async def revisions(
+    admin: str, timeout_s: float, as_json: bool, period_s: float | None
+) -> None:
+    """Show which revision of each service is in force on how many proxies."""
+    show = functools.partial(
+        _show_fleet, admin, timeout_s, as_json, ("services",), _revisions_table
+    )
+    await _show(show, period_s)
+
+
+@main.command()
+@click.argument("service")
+@click.argument("statement")
+@admin_option
+@timeout_option
+@json_option
+@asynchronous
+async def explain(
+    service: str, statement: str, admin: str, timeout_s: float, as_json: bool
+) -> None:
+    """Explain how a STATEMENT to a SERVICE would be classed and routed."""
+    async with open_admin(admin, timeout_s) as client:
+        found = await client.run("explain", service=service, statement=statement)
+    if as_json:
+        click.echo(_json(found))
+        return
+    for one in found:
+        click.echo(table(("key", "value"), one.items()))
+
+
+@main.command()
+@admin_option
+@timeout_option
+@click.option("--yes", is_flag=True, help="Drain without asking.")
+@asynchronous
+async def drain(admin: str, timeout_s: float, yes: bool) -> None:
+    """Let a proxy end its transactions and stop."""
+    async with open_admin(admin, timeout_s) as client:
+        vm = (await client.status("proxy"))["proxy"]["vm"]
+        if not yes:
+            click.confirm(f"Drain {vm}?", abort=True)
+        answer = await client.run("drain")
+    click.echo(f"{vm} drains; it ends within {answer['deadline_s']:g} s.")
+
+
+async def _show(show: Show, period_s: float | None) -> None:
+    click.echo(await show())
+    while period_s:
+        await asyncio.sleep(period_s)
+        text = await show()
+        click.clear()
+        click.echo(text)
+
+
+async def _show_fleet(
+    admin: str,
+    timeout_s: float,
+    as_json: bool,
+    sections: tuple[str, ...],
+    render: t.Callable[[FleetView], str],
+) -> str:
+    async with open_admin(admin, timeout_s) as client:
+        view = await collect_fleet(client, *sections)
+    if as_json:
+        return _json({"answers": view.answers, "silent": view.silent})
+    silent = f"\nNo answer: {', '.join(view.silent)}" if view.silent else ""
+    return render(view) + silent
+
+
+def _fleet_table(view: FleetView) -> str:
+    header = ("vm", "version", "failure_domain", "region", "callers", "draining")
+    rows = [
+        (*(answer["proxy"][key] for key in header), *_counts(answer["services"]))
+        for answer in view.answers.values()
+    ]
+    return table((*header, "services", "rejected"), rows)
+
+
+def _counts(services: dict[str, t.Any]) -> tuple[int, int]:
+    found = services["services"].values()
+    return len(found), sum(bool(one["rejected"]) for one in found)
+
+
+def _revisions_table(view: FleetView) -> str:
+    counts: collections.Counter[tuple[str, int]] = collections.Counter(
+        (name, one["revision"])
+        for answer in view.answers.values()
+        for name, one in answer["services"]["services"].items()
+    )
+    rows = [(name, rev, n) for (name, rev), n in sorted(counts.items())]
+    return table(("service", "revision", "proxies"), rows)
+
+
+def _json(value: t.Any) -> str:
+    return msgspec.json.format(msgspec.json.encode(value)).decode()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rosemaryridge/config/__init__.py
+++ b/src/rosemaryridge/config/__init__.py
@@ -3,6 +3,8 @@
 from rosemaryridge.config._across import SourcedService
 from rosemaryridge.config._across import check_across
 from rosemaryridge.config._check import Fault
+from rosemaryridge.config._describe import KeyNote
+from rosemaryridge.config._describe import describe
 from rosemaryridge.config._difference import Difference
 from rosemaryridge.config._difference import differences
 from rosemaryridge.config._follower import ConfigService
@@ -48,6 +50,7 @@
     "Fault",
     "FaultSettings",
     "GroupSettings",
+    "KeyNote",
     "LogSettings",
     "MembershipSettings",
     "PeersSettings",
@@ -68,6 +71,7 @@
     "TargetsSettings",
     "check_across",
     "decode_service",
+    "describe",
     "differences",
     "encode_service",
     "find_revision",
--- a/src/rosemaryridge/platform/_settings.py
+++ b/src/rosemaryridge/platform/_settings.py
@@ -17,4 +17,3 @@
     timeout_s: Seconds = setting(3.0, "Time for one call, a watch's wait aside.")
     calls_per_s: Positive = setting(2, "Calls a second that the process may make.")
     call_burst: Positive = setting(20, "Calls that it may make at once.")
-    watch_wait_s: Seconds = setting(30.0, "Longest wait of one watch.")
--- a/src/rosemaryridge/proxy/_admin.py
+++ b/src/rosemaryridge/proxy/_admin.py
@@ -78,6 +78,7 @@
     pages.section("services")(proxy.config.status)
     pages.section("groups")(lambda: _groups(proxy))
     pages.section("peers")(lambda: _peers(proxy))
+    pages.section("sessions")(lambda: {"callers": proxy.server.callers})
     pages.section("pools")(lambda: _pools(proxy))
     pages.section("shares")(lambda: _shares(proxy))
 
--- a/src/rosemaryridge_testbed/virtual/_bus.py
+++ b/src/rosemaryridge_testbed/virtual/_bus.py
@@ -70,9 +70,8 @@
         if other is None:
             self._dial(vm)
             return
-        size = len(msgspec.msgpack.encode(message))
         self._network.deliver(
-            self.vm, vm, size, lambda: other.received(self.vm, message)
+            self.vm, vm, _size(message), lambda: other.received(self.vm, message)
         )
 
     def broadcast(self, message: PeerMessage, exclude: str = "") -> None:
@@ -89,7 +88,7 @@
             raise PeerUnavailable(vm)
         answer = asyncio.get_running_loop().create_future()
         self._network.deliver(
-            self.vm, vm, 50, lambda: other.asked(self, message, answer)
+            self.vm, vm, _size(message), lambda: other.asked(self, message, answer)
         )
         expired = PeerUnavailable(f"{vm}: no answer")
         self._network.timer.after(
@@ -128,7 +127,10 @@
         """Answer a question."""
         reply = self._responders[type(message)](source.vm, message)
         self._network.deliver(
-            self.vm, source.vm, 50, lambda: answer.done() or answer.set_result(reply)
+            self.vm,
+            source.vm,
+            _size(reply),
+            lambda: answer.done() or answer.set_result(reply),
         )
 
     def opened(self, other: "VirtualBus") -> None:
@@ -167,3 +169,7 @@
         self._dialing.discard(vm)
         if vm in self._neighbours:
             self._dial(vm)
+
+
+def _size(message: PeerMessage) -> int:
+    return len(msgspec.msgpack.encode(message))
--- /dev/null
+++ b/tests/integration/test_ctl.py
@@ -0,0 +1,93 @@
+"""Look at running proxies with rosemaryridge-ctl."""
+
+import asyncio
+import json
+import sys
+import unittest
+
+from rosemaryridge import codes
+from rosemaryridge.cli import _tables
+from rosemaryridge.cli._common import exit_status
+from rosemaryridge_testbed.fleet import SERVICE
+from rosemaryridge_testbed.fleet import FleetOptions
+from tests.integration.fleet_case import FleetCase
+
+ENDS_S = 30.0
+
+
+class CtlTest(FleetCase):
+    options = FleetOptions(proxies=3)
+
+    async def ctl(self, vm: str, *args: str) -> tuple[int, str]:
+        """Run the program against a proxy; return its exit status and output."""
+        admin = f"127.0.0.1:{self.fleet.ports[f'{vm}-admin']}"
+        command = [sys.executable, "-m", "rosemaryridge.cli.ctl", *args]
+        proc = await asyncio.create_subprocess_exec(
+            *command,
+            "--admin",
+            admin,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await proc.communicate()
+        return proc.returncode, output.decode()
+
+    async def test_shows_every_section(self):
+        for section in _tables.sections():
+            status, output = await self.ctl("p1", "status", section)
+            self.assertEqual(status, 0, output)
+        status, output = await self.ctl("p1", "status", "groups", "--json")
+        group = json.loads(output)[SERVICE]
+        self.assertIn(group["primary"], group["targets"])
+
+    async def test_shows_the_fleet_and_names_who_is_silent(self):
+        status, output = await self.ctl("p1", "fleet")
+        self.assertEqual(status, 0, output)
+        for vm in ("p1", "p2"):
+            self.assertIn(vm, output)
+        self.fleet.pause("p3")
+        try:
+            status, output = await self.ctl("p1", "fleet", "--timeout", "20")
+        finally:
+            self.fleet.resume("p3")
+        self.assertEqual(status, 0, output)
+        self.assertIn("No answer: p3", output)
+
+    async def test_shows_the_revisions_in_force(self):
+        status, output = await self.ctl("p2", "revisions", "--json")
+        self.assertEqual(status, 0, output)
+        answers = json.loads(output)["answers"]
+        self.assertIn(SERVICE, answers["p1"]["services"]["services"])
+
+    async def test_explains_statements(self):
+        text = "SELECT a FROM t; UPDATE t SET a = 1; SELECT nextval('s')"
+        status, output = await self.ctl("p1", "explain", SERVICE, text, "--json")
+        self.assertEqual(status, 0, output)
+        read, write, call = json.loads(output)
+        self.assertTrue(read["is_read"])
+        self.assertFalse(write["is_read"])
+        self.assertFalse(call["is_read"])
+        self.assertTrue(read["target"] and write["target"])
+        status, output = await self.ctl("p1", "explain", "nowhere", "SELECT 1")
+        self.assertEqual(status, exit_status(codes.peer.PEER_DOWN), output)
+        self.assertIn("unknown_service", output)
+
+    async def test_drains_a_proxy(self):
+        status, output = await self.ctl("p2", "drain", "--yes")
+        self.assertEqual(status, 0, output)
+        await self.until(
+            lambda: self.fleet.processes.exit_status("p2") == 0, "p2 ends by itself"
+        )
+        self.fleet.processes.restart("p2")
+        conn = await self.until(lambda: self.fleet.connect("p2"), "p2 serves again")
+        conn.terminate()
+
+    async def test_says_who_did_not_answer(self):
+        port = self.fleet.ports["p1"]
+        self.fleet.ports["gone-admin"] = port
+        status, _ = await self.ctl("gone", "status", "proxy", "--timeout", "2")
+        self.assertEqual(status, exit_status(codes.peer.PEER_DOWN))
+
+
+if __name__ == "__main__":
+    unittest.main()
