--- a/src/rosemaryridge_testbed/experiments/_cluster.py
+++ b/src/rosemaryridge_testbed/experiments/_cluster.py
@@ -72,11 +72,25 @@
         nodes = zip(TARGETS + PROXIES, _DOMAINS * 2, strict=True)
         self.network.domains.update(nodes)
         self._add_targets()
-        for rank, vm in enumerate(PROXIES):
-            rng = random.Random(self.rng.getrandbits(32))
-            proxy = proxy_type(self, vm, rng, acknowledge_early, skip_fencing)
-            self.proxies[vm] = proxy
-            proxy.event(ev.Ranked(rank, len(PROXIES)))
+        self._proxy_args = (proxy_type, acknowledge_early, skip_fencing)
+        for vm in PROXIES:
+            self._add_proxy(vm)
+
+    def _add_proxy(self, vm: str) -> None:
+        proxy_type, acknowledge_early, skip_fencing = self._proxy_args
+        rng = random.Random(self.rng.getrandbits(32))
+        proxy = proxy_type(self, vm, rng, acknowledge_early, skip_fencing)
+        self.proxies[vm] = proxy
+        proxy.event(ev.Ranked(PROXIES.index(vm), len(PROXIES)))
+
+    def start(self, node: str) -> None:
+        """Start a dead node again: a target with its log, a proxy with nothing."""
+        if node not in self.network.dead:
+            return
+        self.network.dead.discard(node)
+        if node in self.proxies:
+            self.proxies[node].stop()
+            self._add_proxy(node)
 
     def _add_targets(self) -> None:
         for name in TARGETS:
--- a/src/rosemaryridge_testbed/experiments/_proxy.py
+++ b/src/rosemaryridge_testbed/experiments/_proxy.py
@@ -43,10 +43,17 @@
         self._asking: set[str] = set()
         self._ask_again: set[str] = set()
         self._reconnect: set[str] = set()
+        self._stopped = False
         self._tick()
 
+    def stop(self) -> None:
+        """End this process; what it waits for no longer matters."""
+        self._stopped = True
+
     def event(self, event: ev.Event) -> None:
         """Give the aggregate an event and carry out its effects."""
+        if self._stopped:
+            return
         for effect in self.failover.on_event(event, self._network.timer.now()):
             self.act(effect)
 
@@ -98,6 +105,8 @@
 
     def poll(self, name: str) -> None:
         """Ask a target for its status; one request at a time."""
+        if self._stopped:
+            return
         if name in self._asking:
             self._ask_again.add(name)
             return
@@ -128,6 +137,8 @@
 
     def observe(self, name: str, status: TargetStatus, seen_at: float) -> None:
         """Give the view a status and settle who waited for it."""
+        if self._stopped:
+            return
         self.view.observe(name, ObservedStatus(status, seen_at))
         for settled in self._window.settle():
             value, term = self._waiting.pop(settled.key)
@@ -198,6 +209,8 @@
             self.poll(effect.primary)
 
     def _tick(self) -> None:
+        if self._stopped:
+            return
         self._network.timer.after(_TICK_S, self._tick)
         if self._network.is_up(self.vm):
             self.event(ev.Tick())
--- a/tests/test_group_failover.py
+++ b/tests/test_group_failover.py
@@ -185,7 +185,7 @@
             second = cluster.primary().name
             cluster.network.pause(second)
             cluster.run(1.0)
-            cluster.network.dead.discard("a")
+            cluster.start("a")
             self.assert_replaced(cluster, second)
             cluster.network.resume(second)
             cluster.run(2.0)
@@ -263,7 +263,7 @@
         elif name == "kill":
             network.dead.add(given)
         elif name == "start":
-            network.dead.discard(given)
+            cluster.start(given)
         else:
             getattr(network, name)(given)
 
