Keep named sessions on a majority of three holders

Cause: a session that moves right after an answer must be covered by any proxy, also when the one that answered has died. Change: a write's position is recorded at a majority of its holders before the answer, a read asks a majority before it chooses a target, and the replica that a session reads from is recorded before the read. A holder that may have missed a record says so and the read goes to the primary.

--- a/src/rosemaryridge/codes/_group.py
+++ b/src/rosemaryridge/codes/_group.py
@@ -35,3 +35,11 @@
     "The primary was replaced before a majority held the write.",
     "Look up the outcome by the request key.",
 )
+SESSION_NOT_RECORDED = define(
+    3005,
+    "session_not_recorded",
+    Outcome.UNKNOWN,
+    "40003",
+    "Too few proxies could note what the session has written or will read.",
+    "Look up the outcome by the request key, or carry the session's token.",
+)
--- a/src/rosemaryridge/group/_service.py
+++ b/src/rosemaryridge/group/_service.py
@@ -38,6 +38,7 @@
 log = Log("group")
 
 Watchers = t.Callable[[ServiceConfig], tuple[str, ...]]
+OnPrimary = t.Callable[[str, int, str | None], None]
 OnLeaving = t.Callable[[str, bool], None]
 
 
@@ -74,6 +75,7 @@
         self._on_leaving = on_leaving
         self._groups: dict[str, Group] = {}
         self._drivers: dict[str, FailoverDriver] = {}
+        self._on_primary: list[OnPrimary] = []
         self._used_at: dict[str, float] = {}
         self._subscriptions: list[Subscription] = []
         self._hints = HintWriter(timer, store)
@@ -138,6 +140,10 @@
         self._used_at[service] = self._timer.now()
         return self._groups[service].view
 
+    def on_primary(self, callback: OnPrimary) -> None:
+        """Call back with service, term and primary (or None) after each change."""
+        self._on_primary.append(callback)
+
     async def acknowledge(
         self,
         service: str,
@@ -251,6 +257,8 @@
             term=view.term,
             primary=view.primary or "none",
         )
+        for callback in self._on_primary:
+            callback(service, view.term, view.primary)
 
     def _status_seen(self, target: str, status: TargetStatus, _sent_at: float) -> None:
         if self._on_leaving is not None:
--- a/src/rosemaryridge/proxy/_parts.py
+++ b/src/rosemaryridge/proxy/_parts.py
@@ -15,6 +15,7 @@
 from rosemaryridge.pool import RetryBudget
 from rosemaryridge.request import ServicePolicy
 from rosemaryridge.routing import Router
+from rosemaryridge.session import Found
 from rosemaryridge.sql import StatementCache
 from rosemaryridge.telemetry import Metrics
 from rosemaryridge.timer import TimerService
@@ -42,13 +43,23 @@
 class Directory(t.Protocol):
     """Remember what named sessions must see, across proxies."""
 
-    async def required(
-        self, service: str, session: str, view: t.Any
-    ) -> Position | None:
-        """Return the position to cover; None where nothing is known."""
-
-    def record(self, service: str, session: str, position: Position) -> None:
-        """Take in what a session has written or seen."""
+    async def find(self, service: str, session: str) -> Found | None:
+        """Return what a session must see; None where only the primary will do."""
+
+    async def record(
+        self, service: str, session: str, position: Position, deadline: float
+    ) -> None:
+        """Note what a session has written or seen; raise Refusal."""
+
+    async def mark(
+        self,
+        service: str,
+        session: str,
+        position: Position,
+        replica: str,
+        deadline: float,
+    ) -> None:
+        """Note which replica a session reads from; raise Refusal."""
 
 
 class DescriptionCache:
--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from rosemaryridge.model import ORIGIN
 from rosemaryridge.model import Position
 from rosemaryridge.pool import PoolLease
 from rosemaryridge.proxy._caller_state import CallerState
@@ -51,6 +50,8 @@
         )
         try:
             await self._prepare(lease.connection)
+            if not primary:
+                await self._share_mark(target, terms)
         except BaseException:
             lease.discard()
             raise
@@ -73,15 +74,24 @@
         )
 
     async def _required(self, view, terms: Terms) -> Position | None:
-        own = self._state.session.required
+        state = self._state
         if not terms.session:
-            return own
-        shared = await self._parts.directory.required(
-            self._state.service, terms.session, view
-        )
-        if shared is None:
-            return None if own == ORIGIN else own
-        return max(own, shared)
+            return state.session.required
+        found = await self._parts.directory.find(state.service, terms.session)
+        if found is None:
+            return None
+        state.session.observe(found.position)
+        if found.replica and not self._mark_shared(found.replica):
+            return None
+        return state.session.required
+
+    def _mark_shared(self, replica: str) -> bool:
+        """Note where another proxy read for the session; say if one mark is enough."""
+        mark = self._state.mark
+        if mark is not None:
+            return mark.target == replica
+        self._state.mark = ReadMark(replica, self._parts.timer.now())
+        return True
 
     def _resolve_mark(self, view) -> None:
         """Learn what the last read had seen at most, once its target tells."""
@@ -113,6 +123,18 @@
                 await connection.command(f"SET {name} = {value}")
                 connection.variables[name] = value
 
+    async def _share_mark(self, target: str, terms: Terms) -> None:
+        """Let other proxies know what the session reads from; raise Refusal."""
+        if terms.session and not self._parts.faults.ignore_token:
+            state = self._state
+            await self._parts.directory.mark(
+                state.service,
+                terms.session,
+                state.session.required,
+                target,
+                terms.deadline,
+            )
+
     def read_from_replica(self, placement: Placement) -> None:
         """Note that a replica answered a read now, at a position not known yet."""
         self._state.mark = ReadMark(placement.target, self._parts.timer.now())
@@ -128,7 +150,9 @@
         self._state.mark = None
         self._state.session.observe(position)
         if terms.session:
-            self._parts.directory.record(self._state.service, terms.session, position)
+            await self._parts.directory.record(
+                self._state.service, terms.session, position, terms.deadline
+            )
 
     def done(self, placement: Placement, ok: bool, reusable: bool) -> None:
         """Give the connection back, or close it."""
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -19,9 +19,9 @@
 from rosemaryridge.proxy._admin import register
 from rosemaryridge.proxy._connect import Connector
 from rosemaryridge.proxy._factory import SessionFactory
-from rosemaryridge.proxy._interim import InterimDirectory
 from rosemaryridge.proxy._parts import Parts
 from rosemaryridge.routing import Router
+from rosemaryridge.session import SessionDirectory
 from rosemaryridge.telemetry import AdminServer
 from rosemaryridge.telemetry import Log
 from rosemaryridge.telemetry import Metrics
@@ -58,7 +58,9 @@
         self.config = self._config()
         self.port = PgTargetPort(_control_login(cfg))
         self.group = self._group()
-        self.directory = InterimDirectory()
+        self.directory = SessionDirectory(
+            self.timer, self.bus, self.membership, self.group, cfg.vm
+        )
         self.pools = self._pools()
         self.leases = self._leases()
         self.budget = RetryBudget()
@@ -187,6 +189,7 @@
         await self.membership.start()
         await self.config.start()
         await self.group.start()
+        await self.directory.start()
         await self.leases.start()
         listen = self.cfg.callers.listen
         await self.server.start_server(listen.host, listen.port, backlog=_BACKLOG)
@@ -209,6 +212,7 @@
 
     async def _stop_parts(self) -> None:
         await self.leases.stop()
+        await self.directory.stop()
         await self.group.stop()
         await self.config.stop()
         await self.membership.stop()
--- a/src/rosemaryridge/session/__init__.py
+++ b/src/rosemaryridge/session/__init__.py
@@ -1,33 +1,9 @@
-"""Keep what a session has written and seen."""
+"""Keep what a session has written and seen, on every proxy that it reaches."""
 
-import dataclasses
+from rosemaryridge.session._directory import SessionDirectory
+from rosemaryridge.session._state import SessionState
+from rosemaryridge.session._state import Token
+from rosemaryridge.session._state import parse_token
+from rosemaryridge.session._table import Found
 
-from rosemaryridge.model import ORIGIN
-from rosemaryridge.model import Position
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Token:
-    """Hold what a token carries."""
-
-    position: Position
-
-
-class SessionState:
-    """Hold the position that a session's reads must cover."""
-
-    def __init__(self) -> None:
-        self.required = ORIGIN
-
-    def observe(self, position: Position) -> None:
-        """Raise the position; it never falls."""
-        self.required = max(self.required, position)
-
-    def token(self) -> str:
-        """Return the position as text."""
-        return str(self.required)
-
-
-def parse_token(text: str) -> Token:
-    """Read a token; raise ValueError."""
-    return Token(Position.parse(text))
+__all__ = ["Found", "SessionDirectory", "SessionState", "Token", "parse_token"]
