Never say not run after an attempt that was answered

A hypothesis run found the order sent, answered, sent again, failed: the second attempt's error ended the request as not run although the first had been answered. The aggregate now remembers the first; the order is pinned as an example.

--- a/src/rosemaryridge/request/_request.py
+++ b/src/rosemaryridge/request/_request.py
@@ -100,6 +100,8 @@
 
     @_on(events.Sent)
     def _sent(self, event: events.Sent) -> Effect:
+        # An attempt that was answered has run, whatever the next one meets.
+        self._may_have_run |= self.stage is Stage.ANSWERED and not self._is_read
         self.stage = Stage.SENT
         self.attempts += 1
         self.target = event.target
