Limit the slot time of a business that floods a shared target

Change: proxies report each business's demand to the first watcher of a service twice a second, one message a service; businesses above their share get rates of slot time, those within it are left alone, and a business alone is not limited. A slot is kept free only for a business whose budget lets it use one.

--- a/src/rosemaryridge/pool/__init__.py
+++ b/src/rosemaryridge/pool/__init__.py
@@ -9,6 +9,7 @@
 from rosemaryridge.pool._pools import lendable
 from rosemaryridge.pool._retry import RetryBudget
 from rosemaryridge.pool._settings import PoolSettings
+from rosemaryridge.pool._slot_service import SlotService
 from rosemaryridge.pool._target import PoolLease
 
 __all__ = [
@@ -19,6 +20,7 @@
     "PoolSettings",
     "Pools",
     "RetryBudget",
+    "SlotService",
     "TargetConnection",
     "base_share",
     "lendable",
--- a/src/rosemaryridge/pool/_pools.py
+++ b/src/rosemaryridge/pool/_pools.py
@@ -56,11 +56,13 @@
         self._metrics = metrics
         self._pools: dict[Key, TargetPool] = {}
         self._leased: dict[Key, int] = {}
+        self._services: dict[str, ServiceConfig] = {}
         self._waiters = itertools.count()
         self._sweep = timer.every(_SWEEP_PERIOD_S, self._close_stale, 0.5, rng)
 
     def adopt(self, service: ServiceConfig) -> None:
         """Take over a new or changed service."""
+        self._services[service.name] = service
         for target in service.targets:
             leased = self._leased.get((service.name, target.name), 0)
             limit = base_share(self._cfg, target) + leased
@@ -110,6 +112,10 @@
             raise Refusal(codes.limits.NO_TARGET, f"target {target} is unknown")
         return pool
 
+    def services(self) -> t.Mapping[str, ServiceConfig]:
+        """Return every service by name."""
+        return self._services
+
     def pools(self) -> t.Mapping[Key, TargetPool]:
         """Return every pool by service and target."""
         return self._pools
--- a/src/rosemaryridge/pool/_slots.py
+++ b/src/rosemaryridge/pool/_slots.py
@@ -7,6 +7,7 @@
 from rosemaryridge import codes
 from rosemaryridge.codes import Code
 from rosemaryridge.config import BusinessConfig
+from rosemaryridge.pool._budget import SlotBudget
 from rosemaryridge.pool._queue import BusinessQueue
 from rosemaryridge.pool._queue import Entry
 from rosemaryridge.pool._queue import Waiter
@@ -15,6 +16,7 @@
 _HOLD_WEIGHT = 0.1
 _FIRST_HOLD_S = 0.005
 _PEAK_KEPT = 0.7
+_LEAST_HOLD_WEIGHT = 0.002
 _DEFAULT = BusinessConfig("")
 
 
@@ -43,6 +45,8 @@
     queue: BusinessQueue
     busy: int = 0
     active_at: float = float("-inf")
+    budget: SlotBudget = dataclasses.field(default_factory=SlotBudget)
+    arrivals: int = 0
 
 
 class SlotTable:
@@ -57,6 +61,7 @@
         self.busy = 0
         self.peak = 0
         self.hold_s = _FIRST_HOLD_S
+        self.least_hold_s = _FIRST_HOLD_S
         self._active_s = active_s
         self._rng = rng
         self._businesses: dict[str, _Business] = {}
@@ -66,6 +71,11 @@
         """Return how many requests wait."""
         return sum(len(one.queue) for one in self._businesses.values())
 
+    @property
+    def limited(self) -> bool:
+        """Return whether any business's slot time is limited."""
+        return any(one.budget.rate is not None for one in self._businesses.values())
+
     def configure(self, businesses: t.Iterable[BusinessConfig]) -> None:
         """Take over the businesses' shares and queue limits."""
         for cfg in businesses:
@@ -82,6 +92,7 @@
         """Grant a slot, queue the request, or refuse it or a less urgent one."""
         business = self._business(entry.business)
         business.active_at = now
+        business.arrivals += 1
         free = not business.queue and self._may_take(business, now)
         if not free and now + self._wait_s(business, entry, now) >= entry.deadline:
             return [self._refused(entry, codes.limits.DEADLINE_IN_QUEUE)]
@@ -94,12 +105,44 @@
 
     def leave(self, business: str, hold_s: float | None, now: float) -> list[Effect]:
         """Give a slot back after `hold_s` of use, None where it was not used."""
-        self._business(business).busy -= 1
+        used = self._business(business)
+        used.busy -= 1
         self.busy -= 1
+        used.budget.spend((hold_s or 0.0) - self.hold_s)
         if hold_s is not None:
             self.hold_s += _HOLD_WEIGHT * (hold_s - self.hold_s)
+            weight = 1.0 if hold_s < self.least_hold_s else _LEAST_HOLD_WEIGHT
+            self.least_hold_s += weight * (hold_s - self.least_hold_s)
+        return self._grant(now)
+
+    def poll(self, now: float) -> list[Effect]:
+        """Grant what budgets have come to allow."""
         return self._grant(now)
 
+    def poll_in_s(self, now: float) -> float | None:
+        """Return when to poll, in seconds; None where no budget holds anyone back."""
+        if self.busy >= self.limit:
+            return None
+        waiting = (one for one in self._businesses.values() if one.queue)
+        waits = [one.budget.opens_in_s(now) for one in waiting]
+        return min((wait_s for wait_s in waits if wait_s > 0.0), default=None)
+
+    def limit_business(self, name: str, rate: float | None, now: float) -> None:
+        """Limit the slot time of a business, None for no limit."""
+        self._business(name).budget.limit(rate, now)
+
+    def take_demand(self, period_s: float) -> dict[str, float]:
+        """Return the slots that each business asked for in a period.
+
+        A request counts with the least time that one holds a slot, so that a
+        crowded target does not make a business look larger than it is.
+        """
+        found = {}
+        for name, one in self._businesses.items():
+            found[name] = one.arrivals * self.least_hold_s / period_s
+            one.arrivals = 0
+        return found
+
     def expire(self, entry: Entry) -> list[Effect]:
         """Refuse a request whose deadline has passed, where it still waits."""
         if self._business(entry.business).queue.remove(entry.waiter) is None:
@@ -147,7 +190,7 @@
 
     def _may_take(self, business: _Business, now: float) -> bool:
         free = self.limit - self.busy
-        if free <= 0:
+        if free <= 0 or not business.budget.is_open(now):
             return False
         if business.busy < self.guaranteed(business.cfg.name):
             return True
@@ -157,11 +200,14 @@
         return sum(
             max(0, self.guaranteed(name) - other.busy)
             for name, other in self._businesses.items()
-            if other is not business and now - other.active_at < self._active_s
+            if other is not business
+            and now - other.active_at < self._active_s
+            and other.budget.is_open(now)
         )
 
     def _take(self, business: _Business) -> None:
         business.busy += 1
+        business.budget.spend(self.hold_s)
         self.busy += 1
 
     def _grant(self, now: float) -> list[Effect]:
@@ -196,7 +242,9 @@
 
     def _wait_s(self, business: _Business, entry: Entry, now: float) -> float:
         shared = self.limit - self._kept_for_others(business, now)
-        slots = max(1, self.guaranteed(business.cfg.name), shared)
+        slots = max(1.0, self.guaranteed(business.cfg.name), shared)
+        if business.budget.rate is not None:
+            slots = min(slots, max(1e-3, business.budget.rate))
         return business.queue.ahead_of(entry.priority) * self.hold_s / slots
 
     def _refused(self, entry: Entry, code: Code) -> Refused:
--- a/src/rosemaryridge/pool/_target.py
+++ b/src/rosemaryridge/pool/_target.py
@@ -20,6 +20,7 @@
 from rosemaryridge.pool._slots import Granted
 from rosemaryridge.pool._slots import SlotTable
 from rosemaryridge.telemetry import Metrics
+from rosemaryridge.timer import Subscription
 from rosemaryridge.timer import TimerService
 
 
@@ -83,6 +84,7 @@
         self._check = check
         self._metrics = metrics
         self._idle: list[_Idle] = []
+        self._poll: Subscription | None = None
         self._closing: set[asyncio.Task[None]] = set()
         self._leases: dict[int, PoolLease] = {}
         self._granting: dict[object, asyncio.Future[None]] = {}
@@ -200,7 +202,27 @@
         if not waited and granted and granting.exception() is None:
             self._leave(entry.business, None)
 
+    def limit_business(self, business: str, rate: float | None) -> None:
+        """Limit the slot time of a business here, None for no limit."""
+        now = self.timer.now()
+        self.slots.limit_business(business, rate, now)
+        self._run(self.slots.poll(now))
+
+    def _arm_poll(self) -> None:
+        wait_s = self.slots.poll_in_s(self.timer.now())
+        if wait_s is not None and self._poll is None:
+            self._poll = self.timer.after(wait_s, self._polled)
+
+    def _polled(self) -> None:
+        self._poll = None
+        self._run(self.slots.poll(self.timer.now()))
+
     def _run(self, effects: list[Effect]) -> None:
+        self._answer(effects)
+        if self.slots.limited:
+            self._arm_poll()
+
+    def _answer(self, effects: list[Effect]) -> None:
         for effect in effects:
             granting = self._granting.pop(effect.waiter, None)
             if granting is None or granting.done():
--- a/src/rosemaryridge_testbed/experiments/__init__.py
+++ b/src/rosemaryridge_testbed/experiments/__init__.py
@@ -1,10 +1,20 @@
 """Measure decisions in time that is moved by hand."""
 
+from rosemaryridge_testbed.experiments import _isolation as _isolation
 from rosemaryridge_testbed.experiments._cluster import Cluster
 from rosemaryridge_testbed.experiments._network import Latency
 from rosemaryridge_testbed.experiments._network import Network
 from rosemaryridge_testbed.experiments._proxy import ModelProxy
+from rosemaryridge_testbed.experiments._registry import experiments
 from rosemaryridge_testbed.experiments._target import ModelTarget
 from rosemaryridge_testbed.experiments._target import Refused
 
-__all__ = ["Cluster", "Latency", "ModelProxy", "ModelTarget", "Network", "Refused"]
+__all__ = [
+    "Cluster",
+    "Latency",
+    "ModelProxy",
+    "ModelTarget",
+    "Network",
+    "Refused",
+    "experiments",
+]
