Send each answer in one write and read messages from one buffer

Cause: a profile of prepared reads showed four writes and six small reads on the caller's socket for each statement, and two timeout scopes for doubting a silent connection. A statement that outlived that doubt failed on the connection that was terminated meanwhile. Change: CallerStream gathers an answer until ReadyForQuery and cuts messages out of one buffer; a plain timer terminates a silent connection; a terminated connection reports itself as closed and can still be cancelled.

--- a/src/rosemaryridge/proxy/_autocommit.py
+++ b/src/rosemaryridge/proxy/_autocommit.py
@@ -2,7 +2,6 @@
 
 import abc
 import asyncio
-import contextlib
 import typing as t
 
 import asyncpg
@@ -46,6 +45,7 @@
 from rosemaryridge.wire import Fetched
 from rosemaryridge.wire import Prepared
 
+_Value = t.TypeVar("_Value")
 _RETRY_PAUSE_S = 0.02
 _FREE_RETRIES = 2
 _STALE_STATEMENT = (
@@ -222,26 +222,32 @@
         return await self._exchange(placement, max_rows)
 
     async def _prepare(self, placement: Placement) -> Prepared:
-        async with self._patience(placement):
-            prepared = await prepare(placement.connection, self._work)
+        prepared = await prepare(placement.connection, self._work)
         self.request.on_event(Sent(placement.target, placement.primary))
         return prepared
 
-    @contextlib.asynccontextmanager
-    async def _patience(self, placement: Placement) -> t.AsyncIterator[None]:
-        """Doubt a connection that stays silent, and those opened before it.
+    async def _patiently(
+        self, placement: Placement, work: t.Awaitable[_Value]
+    ) -> _Value:
+        """Give a connection up that stays silent.
 
-        The target is not blamed: a connection that is opened anew may work. Each
-        attempt is more patient than the one before, for what is only slow.
+        Each attempt is more patient than the one before, for what is only slow.
         """
         patience_s = self._parts.cfg.targets.silent_timeout_s * 4**self._silences
+        doubt = self._parts.timer.after(patience_s, lambda: self._give_up(placement))
         try:
-            async with asyncio.timeout(patience_s):
-                yield
-        except TimeoutError:
-            self._silences += 1
-            self._parts.pools.pool(self._state.service, placement.target).close_idle()
-            raise
+            return await work
+        finally:
+            doubt.cancel()
+
+    def _give_up(self, placement: Placement) -> None:
+        """Close a silent connection, and those that were opened before it.
+
+        The target is not blamed: a connection that is opened anew may work.
+        """
+        self._silences += 1
+        self._parts.pools.pool(self._state.service, placement.target).close_idle()
+        placement.connection.terminate()
 
     async def _confirm_answer(self, placement: Placement) -> Effect:
         try:
@@ -262,8 +268,10 @@
         self._fetched: Fetched | None = None
 
     async def _exchange(self, placement: Placement, max_rows: int) -> Effect:
-        prepared = self._prepared = await self._prepare(placement)
-        self._fetched = await placement.connection.execute(prepared, self._work.params)
+        self._prepared = await self._patiently(placement, self._prepare(placement))
+        self._fetched = await placement.connection.execute(
+            self._prepared, self._work.params
+        )
         return self.request.on_event(Answered())
 
     async def _deliver(self) -> Completion:
@@ -284,17 +292,19 @@
         self._fetched = Fetched((), "")
 
     async def _exchange(self, placement: Placement, max_rows: int) -> Effect:
-        connection = placement.connection
-        prepared = self._prepared = await self._prepare(placement)
-        limit = max_rows or CHUNK_ROWS
-        async with self._patience(placement):
-            fetched = await connection.execute(prepared, self._work.params, limit)
+        fetched = await self._patiently(placement, self._fetch(placement, max_rows))
         if fetched.tag is None and not max_rows:
-            return await self._stream(placement, prepared)
+            return await self._stream(placement, self._prepared)
         self._fetched = fetched
         self._note_read(placement)
         return self.request.on_event(Answered())
 
+    async def _fetch(self, placement: Placement, max_rows: int) -> Fetched:
+        prepared = self._prepared = await self._prepare(placement)
+        return await placement.connection.execute(
+            prepared, self._work.params, max_rows or CHUNK_ROWS
+        )
+
     async def _stream(self, placement: Placement, prepared: Prepared) -> Effect:
         """Read again, in chunks: what was read so far reached nobody."""
         connection = placement.connection
--- a/src/rosemaryridge/wire/_caller_connection.py
+++ b/src/rosemaryridge/wire/_caller_connection.py
@@ -20,6 +20,7 @@
 from rosemaryridge.wire._caller_session import CallerStatement
 from rosemaryridge.wire._caller_session import Completion
 from rosemaryridge.wire._caller_session import Rows
+from rosemaryridge.wire._caller_stream import OVERSIZED
 from rosemaryridge.wire._columns import Column
 from rosemaryridge.wire._columns import Parameters
 from rosemaryridge.wire._columns import expand_formats
@@ -32,8 +33,6 @@
 _RUNS = (messages.QUERY, messages.EXECUTE)
 _ANNOUNCED_GRACE_S = 1.0
 
-# Stands for a message that was too large to read; the payload is its type.
-OVERSIZED = b"\x00"
 
 Handler = t.Callable[["CallerConnection", bytes], t.Awaitable[None]]
 _HANDLERS: dict[bytes, Handler] = {}
@@ -70,7 +69,7 @@
     async def rows(self, rows: Rows) -> None:
         if rows:
             self._stream.write(b"".join(map(_messages.data_row, rows)))
-            await self._stream.drain()
+            await self._stream.pace()
 
 
 class CallerConnection(Connection):
@@ -123,6 +122,7 @@
     def _say_goodbye(self) -> None:
         refusal = Refusal(codes.caller.SHUTTING_DOWN)
         self._error(_errors.refusal_fields(refusal, "FATAL"))
+        self.stream.flush()
         self.stream.writer.close()
 
     async def refuse(self, refusal: Refusal) -> None:
--- a/src/rosemaryridge/wire/_caller_server.py
+++ b/src/rosemaryridge/wire/_caller_server.py
@@ -14,16 +14,14 @@
 
 from rosemaryridge import codes
 from rosemaryridge.exceptions import Refusal
-from rosemaryridge.wire._caller_connection import OVERSIZED
 from rosemaryridge.wire._caller_connection import CallerConnection
 from rosemaryridge.wire._caller_session import CallerSession
+from rosemaryridge.wire._caller_stream import CallerStream
 from rosemaryridge.wire._scram import Verifier
 from rosemaryridge.wire._scram import VerifierAuth
 from rosemaryridge.wire._scram import unknown_verifier
 
 _PROTOCOL_3 = 3
-_STARTUP_LIMIT_BYTES = 10_000
-_SKIP_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,46 +59,6 @@
         """Count a refusal."""
 
 
-class _LimitedStream(PgStream):
-    """Refuse messages over a size before they are read."""
-
-    def __init__(self, reader, writer, limit_bytes: int):
-        super().__init__(reader, writer)
-        self._limit_bytes = limit_bytes
-
-    async def read_startup_packet(self) -> tuple[int, bytes]:
-        head = await self._read_exactly(8)
-        length, code = struct.unpack("!iI", head)
-        if not 8 <= length <= _STARTUP_LIMIT_BYTES:
-            raise ConnectionClosed
-        return code, await self._read_exactly(length - 8)
-
-    async def read_message(self) -> tuple[bytes, bytes]:
-        head = await self._read_exactly(5)
-        length = struct.unpack_from("!i", head, 1)[0] - 4
-        tag = head[:1]
-        if length < 0:
-            raise ConnectionClosed
-        if length > self._limit_bytes:
-            await self._skip(length)
-            return OVERSIZED, tag
-        return tag, await self._read_exactly(length) if length else b""
-
-    def has_unread(self) -> bool:
-        """Tell whether the caller has sent what nobody has read yet."""
-        return bool(self.reader._buffer)
-
-    async def _skip(self, length: int) -> None:
-        while length:
-            length -= len(await self._read_exactly(min(length, _SKIP_BYTES)))
-
-    async def _read_exactly(self, size: int) -> bytes:
-        try:
-            return await self.reader.readexactly(size)
-        except (asyncio.IncompleteReadError, ConnectionError) as exc:
-            raise ConnectionClosed from exc
-
-
 class CallerServer(PgServer):
     """Listen for callers, log them in and hand them to their sessions."""
 
@@ -142,7 +100,7 @@
 
     async def _handle_client(self, reader, writer) -> None:
         _set_no_delay(writer)
-        stream = _LimitedStream(reader, writer, self._limits.max_message_bytes)
+        stream = CallerStream(reader, writer, self._limits.max_message_bytes)
         try:
             async with asyncio.timeout(self._limits.login_timeout_s):
                 connection = await self._log_in(stream)
--- a/src/rosemaryridge/wire/_target_connection.py
+++ b/src/rosemaryridge/wire/_target_connection.py
@@ -126,6 +126,7 @@
     """Be one connection to a target, used by one request at a time."""
 
     __slots__ = (
+        "_backend",
         "_conn",
         "_portals",
         "_statements",
@@ -136,6 +137,8 @@
 
     def __init__(self, conn: _PassThroughConnection, endpoint: Endpoint):
         self._conn = conn
+        protocol = conn._protocol
+        self._backend = (protocol.backend_pid, protocol.backend_secret)
         self._statements: collections.OrderedDict[tuple[str, Formats], Prepared] = (
             collections.OrderedDict()
         )
@@ -168,13 +171,20 @@
         set_keep_alive(conn, keep_alive or KeepAlive())
         return cls(conn, endpoint)
 
+    @property
+    def _protocol(self) -> t.Any:
+        protocol = self._conn._protocol
+        if protocol is None:
+            raise asyncpg.InterfaceError("the connection was terminated")
+        return protocol
+
     def is_closed(self) -> bool:
         """Tell whether the connection is of no more use."""
         return self._conn.is_closed()
 
     def in_transaction(self) -> bool:
         """Tell whether the target reported an open transaction."""
-        return self._conn.is_in_transaction()
+        return not self.is_closed() and self._conn.is_in_transaction()
 
     def _on_notice(self, _: t.Any, notice: t.Any) -> None:
         if self.notice_handler is not None:
@@ -190,26 +200,34 @@
 
     async def command(self, text: str) -> str:
         """Run a statement that returns no rows; return its tag."""
-        return await self._conn._protocol.query(text, None)
+        return await self._protocol.query(text, None)
 
     async def cancel(self) -> None:
-        """Ask the target to cancel what runs on this connection."""
+        """Ask the target to cancel what runs, or ran last, on this connection."""
         conn = self._conn
+        pid, secret = self._backend
         await connect_utils._cancel(
             loop=conn._loop,
             addr=conn._addr,
             params=conn._params,
-            backend_pid=conn._protocol.backend_pid,
-            backend_secret=conn._protocol.backend_secret,
+            backend_pid=pid,
+            backend_secret=secret,
         )
 
-    async def prepare(self, sql: str, formats: Formats) -> Prepared:
-        """Prepare a statement, or return what this connection holds of it."""
+    def held(self, sql: str, formats: Formats) -> Prepared | None:
+        """Return a statement that this connection holds prepared."""
         key = (sql, formats)
         prepared = self._statements.get(key)
         if prepared is not None:
             self._statements.move_to_end(key)
+        return prepared
+
+    async def prepare(self, sql: str, formats: Formats) -> Prepared:
+        """Prepare a statement, or return what this connection holds of it."""
+        prepared = self.held(sql, formats)
+        if prepared is not None:
             return prepared
+        key = (sql, formats)
         self._conn.use_formats(formats)
         state = await self._conn._get_statement(sql, None, named=True, use_cache=False)
         state.attach()
@@ -235,21 +253,21 @@
     ) -> Fetched:
         """Bind and run; fetch at most `limit` rows, all where it is 0."""
         args = _arguments(prepared, params)
-        rows, status, _ = await self._conn._protocol.bind_execute(
+        rows, status, _ = await self._protocol.bind_execute(
             prepared.state, args, portal, limit, True, None
         )
         return Fetched(rows or (), status.decode() if status else None)
 
     async def fetch(self, prepared: Prepared, portal: str, limit: int) -> Fetched:
         """Fetch more rows of a portal that `execute` opened."""
-        rows, status, _ = await self._conn._protocol.execute(
+        rows, status, _ = await self._protocol.execute(
             prepared.state, portal, limit, True, None
         )
         return Fetched(rows or (), status.decode() if status else None)
 
     async def close_portal(self, portal: str) -> None:
         """Close a portal before it was read to its end."""
-        await self._conn._protocol.close_portal(portal, None)
+        await self._protocol.close_portal(portal, None)
 
     def new_portal(self) -> str:
         """Return a portal name that is free on this connection."""
