--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 RUN = PYTHONPATH=src $(VENV)/bin/python
 
-.PHONY: demo test unit lint format bench
+.PHONY: demo test unit lint format docs bench
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -27,5 +27,11 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+docs: $(VENV)/.installed
+	$(RUN) -m rosemaryridge.cli.ctl reference codes --into docs/CODES.md
+	$(RUN) -m rosemaryridge.cli.ctl reference metrics --into docs/OPERATIONS.md
+	$(RUN) -m rosemaryridge.cli.ctl reference settings --into docs/CONFIGURATION.md
+	$(RUN) -m rosemaryridge.cli.ctl reference service --into docs/CONFIGURATION.md
+
 bench: $(VENV)/.installed
 	$(RUN) -m rosemaryridge_testbed.cli.bench
--- a/src/rosemaryridge/cli/_collect.py
+++ b/src/rosemaryridge/cli/_collect.py
@@ -3,12 +3,15 @@
 import pathlib
 import typing as t
 
+from result import Err
+from result import Ok
+
 from rosemaryridge.config import Fault
 from rosemaryridge.config import Revision
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.config import SourcedService
 from rosemaryridge.config import check_across
-from rosemaryridge.config import load_service
+from rosemaryridge.config import check_service
 from rosemaryridge.exceptions import SettingsError
 
 PATTERN = "*.service.json"
@@ -19,10 +22,11 @@
     found: list[SourcedService] = []
     faults: list[object] = []
     for path in _files(paths):
-        try:
-            found.append(SourcedService(str(path), load_service(path)))
-        except SettingsError as exc:
-            faults.extend(exc.faults)
+        match check_service(path):
+            case Ok(service):
+                found.append(SourcedService(str(path), service))
+            case Err(exc):
+                faults.extend(exc.faults)
     faults.extend(check_across(found))
     if not found and not faults:
         given = ", ".join(map(str, paths))
--- a/src/rosemaryridge/cli/_reference.py
+++ b/src/rosemaryridge/cli/_reference.py
@@ -1,10 +1,12 @@
 """Print the reference tables that the docs hold."""
 
 import dataclasses
+import pathlib
 import typing as t
 
 import click
 
+import rosemaryridge.proxy  # noqa: F401  (its parts register their metrics)
 from rosemaryridge.cli._common import exit_status
 from rosemaryridge.codes import all_codes
 from rosemaryridge.config import ProxySettings
@@ -29,9 +31,27 @@
 
 @click.command()
 @click.argument("name", type=click.Choice(["codes", "metrics", "settings", "service"]))
-def reference(name: str) -> None:
+@click.option(
+    "--into",
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    help="Put the table into a page, between its two marks.",
+)
+def reference(name: str, into: pathlib.Path | None) -> None:
     """Print a table of the docs: codes, metrics, settings or service."""
-    click.echo(markdown(name))
+    if into is None:
+        click.echo(markdown(name))
+    else:
+        into.write_text(fill(into.read_text(), name))
+
+
+def fill(page: str, name: str) -> str:
+    """Return a page with its table of one name made anew."""
+    begin, end = f"<!-- begin {name} -->", f"<!-- end {name} -->"
+    head, found_begin, rest = page.partition(begin)
+    _, found_end, tail = rest.partition(end)
+    if not (found_begin and found_end):
+        raise click.UsageError(f"The page has no marks {begin} and {end}.")
+    return f"{head}{begin}\n{markdown(name)}\n{end}{tail}"
 
 
 def markdown(name: str) -> str:
--- a/src/rosemaryridge/config/__init__.py
+++ b/src/rosemaryridge/config/__init__.py
@@ -8,6 +8,7 @@
 from rosemaryridge.config._difference import Difference
 from rosemaryridge.config._difference import differences
 from rosemaryridge.config._follower import ConfigService
+from rosemaryridge.config._load import check_service
 from rosemaryridge.config._load import decode_service
 from rosemaryridge.config._load import encode_service
 from rosemaryridge.config._load import load_service
@@ -70,6 +71,7 @@
     "TargetConfig",
     "TargetsSettings",
     "check_across",
+    "check_service",
     "decode_service",
     "describe",
     "differences",
--- a/src/rosemaryridge/config/_load.py
+++ b/src/rosemaryridge/config/_load.py
@@ -7,6 +7,9 @@
 
 import json5
 import msgspec
+from result import Err
+from result import Ok
+from result import Result
 
 from rosemaryridge.config import _rules  # noqa: F401  (registers the rules)
 from rosemaryridge.config._check import Checker
@@ -34,6 +37,14 @@
     return _build(Checker(str(path), revision=0), ServiceConfig, _read(path))
 
 
+def check_service(path: _PathLike) -> Result[ServiceConfig, SettingsError]:
+    """Read a service file, and return its faults instead of raising them."""
+    try:
+        return Ok(load_service(path))
+    except SettingsError as exc:
+        return Err(exc)
+
+
 def encode_service(service: ServiceConfig) -> bytes:
     """Return the value that the object store keeps for a service."""
     return msgspec.json.encode(to_plain(service), order="sorted")
