--- a/src/rosemaryridge_testbed/fleet/_fleet.py
+++ b/src/rosemaryridge_testbed/fleet/_fleet.py
@@ -110,7 +110,7 @@
         for index, proxy in enumerate(self.proxies):
             self._start_proxy(proxy, index)
         for proxy in self.proxies:
-            await eventually(lambda vm=proxy: self._answers(vm), _START_S, proxy)
+            await eventually(lambda vm=proxy: self.answers(vm), _START_S, proxy)
 
     def _public_ports(self) -> dict[str, int]:
         return {name: self.ports[f"{name}-public"] for name in self.targets}
@@ -165,7 +165,8 @@
         path.write_text(json.dumps(settings, indent=2))
         self.processes.start(vm, _PROXY, "--settings", str(path))
 
-    async def _answers(self, vm: str) -> bool:
+    async def answers(self, vm: str) -> bool:
+        """Tell whether a proxy answers; raise RuntimeError where it has ended."""
         if self.processes.exit_status(vm) is not None:
             raise RuntimeError(f"{vm} ended:\n{self.tail(vm)}")
         conn = await self.connect(vm, timeout=2.0)
@@ -250,6 +251,14 @@
         whole = len(states) == len(self.targets) and len(positions) == 1
         return leading[0] if whole and len(leading) == 1 else None
 
+    async def writable_with_replicas(self) -> bool:
+        """Tell whether one target leads and all others follow it in its term."""
+        states = await self.states()
+        roles = [state["role"] for state in states]
+        terms = {state["received"].partition("/")[0] for state in states}
+        whole = len(states) == len(self.targets) and len(terms) == 1
+        return whole and roles.count("primary") == 1
+
     def pause(self, name: str) -> None:
         """Stop a process in its tracks."""
         self.processes.signal(name, signal.SIGSTOP)
