Refuse at once what could no longer end in time

Change: a waiting request that cannot end by its deadline, judged by the mean time that a slot is held, is refused on arrival or when its turn comes. One that finds a free slot is never refused.

--- a/src/rosemaryridge/pool/_slots.py
+++ b/src/rosemaryridge/pool/_slots.py
@@ -14,6 +14,7 @@
 
 _MIN_RETRY_AFTER_S = 0.05
 _HOLD_WEIGHT = 0.1
+_HOLD_MARGIN = 1.25
 _FIRST_HOLD_S = 0.005
 _PEAK_KEPT = 0.7
 _LEAST_HOLD_WEIGHT = 0.002
@@ -93,8 +94,11 @@
         business = self._business(entry.business)
         business.active_at = now
         business.arrivals += 1
-        free = not business.queue and self._may_take(business, now)
-        if not free and now + self._wait_s(business, entry, now) >= entry.deadline:
+        if not business.queue and self._may_take(business, now):
+            self._take(business)
+            self.peak = max(self.peak, self.busy + self.waiting)
+            return [Granted(entry.waiter)]
+        if self._is_late(entry, now + self._wait_s(business, entry, now)):
             return [self._refused(entry, codes.limits.DEADLINE_IN_QUEUE)]
         effects = self._make_room(business, entry)
         if not any(effect.waiter == entry.waiter for effect in effects):
@@ -214,7 +218,7 @@
         effects: list[Effect] = []
         while (business := self._next_business(now)) is not None:
             entry = business.queue.pop()
-            if entry.deadline <= now:
+            if self._is_late(entry, now):
                 effects.append(self._refused(entry, codes.limits.DEADLINE_IN_QUEUE))
                 continue
             self._take(business)
@@ -247,5 +251,8 @@
             slots = min(slots, max(1e-3, business.budget.rate))
         return business.queue.ahead_of(entry.priority) * self.hold_s / slots
 
+    def _is_late(self, entry: Entry, start: float) -> bool:
+        return start + _HOLD_MARGIN * self.hold_s >= entry.deadline
+
     def _refused(self, entry: Entry, code: Code) -> Refused:
         return Refused(entry.waiter, code, self.retry_after_s())
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -98,6 +98,11 @@
         effects = slots.arrive(entry("late", deadline=2.0), 0.0)
         self.assertEqual(effects[0].code, codes.limits.DEADLINE_IN_QUEUE)
 
+    def test_long_holds_never_refuse_what_finds_a_free_slot(self):
+        slots = table(limit=1)
+        slots.hold_s = 60.0
+        self.assertEqual(waiters(slots.arrive(entry("one"), 0.0), Granted), ["one"])
+
     def test_expired_requests_are_never_granted(self):
         slots = table(limit=1)
         slots.arrive(entry("running"), 0.0)
