Split the caller's protocol, local statements and commits into modules

Change: messages that carry statements, answers, runs, commits, settings and transaction control have modules of their own. A target's notices reach the caller that holds the connection. SHOW rosemaryridge.token first covers the last read. A lost connection has its group looked at and its target's idle connections closed. Descriptions expire after 30 s or when a run finds them changed. Fault switches count only where they are enabled.

--- a/src/rosemaryridge/proxy/_autocommit.py
+++ b/src/rosemaryridge/proxy/_autocommit.py
@@ -9,11 +9,8 @@
 from rosemaryridge import codes
 from rosemaryridge.exceptions import Refusal
 from rosemaryridge.model import Outcome
-from rosemaryridge.proxy._attempt import CHUNK_ROWS
-from rosemaryridge.proxy._attempt import RowStream
 from rosemaryridge.proxy._attempt import Work
 from rosemaryridge.proxy._attempt import prepare
-from rosemaryridge.proxy._attempt import total_tag
 from rosemaryridge.proxy._caller_state import CallerState
 from rosemaryridge.proxy._caller_state import Terms
 from rosemaryridge.proxy._connect import CONNECTION_ERRORS
@@ -23,13 +20,11 @@
 from rosemaryridge.proxy._running import Running
 from rosemaryridge.proxy._running import cancel_quietly
 from rosemaryridge.proxy._running import run_aside
-from rosemaryridge.request import Answered
 from rosemaryridge.request import Confirm
 from rosemaryridge.request import Confirmed
 from rosemaryridge.request import ConfirmFailed
 from rosemaryridge.request import Continue
 from rosemaryridge.request import DeadlinePassed
-from rosemaryridge.request import Delivered
 from rosemaryridge.request import Effect
 from rosemaryridge.request import Failed
 from rosemaryridge.request import Finish
@@ -39,10 +34,8 @@
 from rosemaryridge.request import RequestKind
 from rosemaryridge.request import Retry
 from rosemaryridge.request import Sent
-from rosemaryridge.request import Stage
 from rosemaryridge.telemetry import STATEMENTS
 from rosemaryridge.wire import Completion
-from rosemaryridge.wire import Fetched
 from rosemaryridge.wire import Prepared
 
 _Value = t.TypeVar("_Value")
@@ -53,8 +46,6 @@
     asyncpg.InvalidSQLStatementNameError,
 )
 _NOWHERE = (codes.limits.NO_TARGET, codes.group.NO_PRIMARY)
-# The time that a caller gets to take in a chunk and the target to send the next.
-_CHUNK_TIMEOUT_S = 30.0
 
 
 class Autocommit(abc.ABC):
@@ -193,6 +184,7 @@
         connection = placement.connection
         self.running.connection = connection
         answered = ok = False
+        sent = self.request.attempts
         try:
             effect = await self._run(placement, max_rows)
             answered = ok = True
@@ -205,12 +197,18 @@
             effect = self.request.on_event(Lost())
         finally:
             self.running.connection = None
-            if not answered and self.request.stage is not Stage.WAITING:
-                run_aside(cancel_quietly(connection))
+            if not answered:
+                self._abandon(placement, sent)
             reusable = answered and not connection.in_transaction()
             self._placer.done(placement, ok, reusable)
         return effect
 
+    def _abandon(self, placement: Placement, attempts_before: int) -> None:
+        """Leave a connection whose answer nobody waits for any more."""
+        self._placer.lost(placement)
+        if self.request.attempts > attempts_before:
+            run_aside(cancel_quietly(placement.connection))
+
     async def _run(self, placement: Placement, max_rows: int) -> Effect:
         connection = placement.connection
         try:
@@ -231,7 +229,8 @@
     ) -> _Value:
         """Give a connection up that stays silent.
 
-        Each attempt is more patient than the one before, for what is only slow.
+        The target is not blamed: a connection that is opened anew may work. Each
+        attempt is more patient than the one before, for what is only slow.
         """
         patience_s = self._parts.cfg.targets.silent_timeout_s * 4**self._silences
         doubt = self._parts.timer.after(patience_s, lambda: self._give_up(placement))
@@ -241,12 +240,7 @@
             doubt.cancel()
 
     def _give_up(self, placement: Placement) -> None:
-        """Close a silent connection, and those that were opened before it.
-
-        The target is not blamed: a connection that is opened anew may work.
-        """
         self._silences += 1
-        self._parts.pools.pool(self._state.service, placement.target).close_idle()
         placement.connection.terminate()
 
     async def _confirm_answer(self, placement: Placement) -> Effect:
@@ -255,92 +249,3 @@
         except Refusal as exc:
             return self.request.on_event(ConfirmFailed(exc.code))
         return self.request.on_event(Confirmed())
-
-
-class WriteRun(Autocommit):
-    """Run a write; its answer is held back until a majority holds the write."""
-
-    kind = RequestKind.WRITE
-
-    def __init__(self, *args, **kwargs):
-        super().__init__(*args, **kwargs)
-        self._prepared: Prepared | None = None
-        self._fetched: Fetched | None = None
-
-    async def _exchange(self, placement: Placement, max_rows: int) -> Effect:
-        self._prepared = await self._patiently(placement, self._prepare(placement))
-        self._fetched = await placement.connection.execute(
-            self._prepared, self._work.params
-        )
-        return self.request.on_event(Answered())
-
-    async def _deliver(self) -> Completion:
-        answer = self._work.answer
-        answer.columns(self._prepared.description.columns)
-        await answer.rows(self._fetched.rows)
-        return Completion(self._fetched.tag or "")
-
-
-class ReadRun(Autocommit):
-    """Run a read; a long answer is streamed from a portal, a short one gathered."""
-
-    kind = RequestKind.READ
-
-    def __init__(self, *args, **kwargs):
-        super().__init__(*args, **kwargs)
-        self._prepared: Prepared | None = None
-        self._fetched = Fetched((), "")
-
-    async def _exchange(self, placement: Placement, max_rows: int) -> Effect:
-        fetched = await self._patiently(placement, self._fetch(placement, max_rows))
-        if fetched.tag is None and not max_rows:
-            return await self._stream(placement, self._prepared)
-        self._fetched = fetched
-        self._note_read(placement)
-        return self.request.on_event(Answered())
-
-    async def _fetch(self, placement: Placement, max_rows: int) -> Fetched:
-        prepared = self._prepared = await self._prepare(placement)
-        return await placement.connection.execute(
-            prepared, self._work.params, max_rows or CHUNK_ROWS
-        )
-
-    async def _stream(self, placement: Placement, prepared: Prepared) -> Effect:
-        """Read again, in chunks: what was read so far reached nobody."""
-        connection = placement.connection
-        await connection.command("BEGIN READ ONLY")
-        rows = RowStream(connection, prepared, self._work.params)
-        fetched = await rows.next(CHUNK_ROWS)
-        effect = self.request.on_event(Answered(complete=False))
-        if isinstance(effect, Confirm):
-            effect = await self._confirm_answer(placement)
-        if not isinstance(effect, Continue):
-            return effect
-        self._work.answer.columns(prepared.description.columns)
-        total = len(fetched.rows)
-        while fetched.tag is None:
-            self.request.on_event(Delivered())
-            await self._pass_on(fetched)
-            fetched = await rows.next(CHUNK_ROWS)
-            total += len(fetched.rows)
-        await connection.command("COMMIT")
-        self._note_read(placement)
-        self._prepared = None
-        self._fetched = Fetched(fetched.rows, total_tag(fetched.tag, total))
-        return self.request.on_event(Answered())
-
-    def _note_read(self, placement: Placement) -> None:
-        if not placement.primary:
-            self._placer.read_from_replica(placement)
-
-    async def _pass_on(self, fetched: Fetched) -> None:
-        await self._work.answer.rows(fetched.rows)
-        self.scope.reschedule(self._parts.timer.now() + _CHUNK_TIMEOUT_S)
-
-    async def _deliver(self) -> Completion:
-        answer = self._work.answer
-        if self._prepared is not None:
-            answer.columns(self._prepared.description.columns)
-        await answer.rows(self._fetched.rows)
-        tag = self._fetched.tag
-        return Completion(tag or "", suspended=tag is None)
--- a/src/rosemaryridge/proxy/_describe.py
+++ b/src/rosemaryridge/proxy/_describe.py
@@ -25,14 +25,20 @@
     transaction = session.transaction
     if transaction is not None:
         return await transaction.describe(query.text, terms)
-    key = (session.state.service, session.policy.service.revision, query.text)
-    known = session.parts.descriptions.get(key)
+    key = description_key(session, query)
+    now = session.parts.timer.now()
+    known = session.parts.descriptions.get(key, now)
     if known is None:
         known = await _ask(session, query, terms)
-        session.parts.descriptions.put(key, known)
+        session.parts.descriptions.put(key, known, now)
     return known
 
 
+def description_key(session: "ProxySession", query: Query) -> tuple:
+    """Return what a statement's types are remembered by."""
+    return (session.state.service, session.policy.service.revision, query.text)
+
+
 async def _ask(session: "ProxySession", query: Query, terms: Terms) -> Description:
     try:
         async with asyncio.timeout_at(terms.deadline):
--- a/src/rosemaryridge/proxy/_keyed.py
+++ b/src/rosemaryridge/proxy/_keyed.py
@@ -4,7 +4,6 @@
 
 from rosemaryridge.model import Outcome
 from rosemaryridge.proxy._attempt import prepare
-from rosemaryridge.proxy._autocommit import WriteRun
 from rosemaryridge.proxy._placing import Placement
 from rosemaryridge.proxy._records import KeyedRequest
 from rosemaryridge.proxy._records import Record
@@ -15,6 +14,7 @@
 from rosemaryridge.proxy._records import open_record
 from rosemaryridge.proxy._records import store_answer
 from rosemaryridge.proxy._records import to_answer
+from rosemaryridge.proxy._runs import WriteRun
 from rosemaryridge.request import Answered
 from rosemaryridge.request import Effect
 from rosemaryridge.request import Sent
--- a/src/rosemaryridge/proxy/_parts.py
+++ b/src/rosemaryridge/proxy/_parts.py
@@ -23,6 +23,8 @@
 
 _STATEMENTS = 4096
 _DESCRIPTIONS = 4096
+_MAX_AGE_S = 30.0
+_NO_FAULTS = FaultSettings()
 
 
 class Group(t.Protocol):
@@ -63,21 +65,28 @@
 
 
 class DescriptionCache:
-    """Remember the types of the statements described last."""
+    """Remember the types of the statements described last, for a short time.
 
-    def __init__(self, size: int = _DESCRIPTIONS):
+    A statement whose types have changed since fails when it is run, as it does on
+    PostgreSQL itself.
+    """
+
+    def __init__(self, size: int = _DESCRIPTIONS, max_age_s: float = _MAX_AGE_S):
         self._size = size
-        self._entries: collections.OrderedDict[tuple, Description] = (
+        self._max_age_s = max_age_s
+        self._entries: collections.OrderedDict[tuple, tuple[float, Description]] = (
             collections.OrderedDict()
         )
 
-    def get(self, key: tuple) -> Description | None:
+    def get(self, key: tuple, now: float) -> Description | None:
         """Return what is known of a statement."""
-        return self._entries.get(key)
+        at, description = self._entries.get(key, (0.0, None))
+        return description if now - at <= self._max_age_s else None
 
-    def put(self, key: tuple, description: Description) -> None:
+    def put(self, key: tuple, description: Description, now: float) -> None:
         """Remember a statement's types in place of the oldest."""
-        self._entries[key] = description
+        self._entries[key] = (now, description)
+        self._entries.move_to_end(key)
         if len(self._entries) > self._size:
             self._entries.popitem(last=False)
 
@@ -107,8 +116,8 @@
 
     @property
     def faults(self) -> FaultSettings:
-        """Return the test-only fault switches."""
-        return self.cfg.faults
+        """Return the test-only fault switches, all off unless they are enabled."""
+        return self.cfg.faults if self.cfg.faults.enabled else _NO_FAULTS
 
     def policy(self, service: str) -> ServicePolicy:
         """Return a service's policy in force; raise Refusal."""
--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -1,7 +1,10 @@
 """Choose the target of a request and get a connection to it."""
 
 import dataclasses
+import typing as t
 
+from rosemaryridge import codes
+from rosemaryridge.exceptions import Refusal
 from rosemaryridge.model import Position
 from rosemaryridge.pool import PoolLease
 from rosemaryridge.proxy._caller_state import CallerState
@@ -12,6 +15,8 @@
 from rosemaryridge.telemetry import STAGE_SECONDS
 from rosemaryridge.wire import TargetConnection
 
+_RETRY_AFTER_S = 0.5
+
 
 @dataclasses.dataclass(slots=True)
 class Placement:
@@ -35,6 +40,7 @@
     def __init__(self, parts: Parts, state: CallerState):
         self._parts = parts
         self._state = state
+        self.on_notice: t.Callable[[t.Any], None] | None = None
 
     async def place(
         self, write: bool, terms: Terms, exclude: frozenset[str] = frozenset()
@@ -58,6 +64,7 @@
         except BaseException:
             lease.discard()
             raise
+        lease.connection.notice_handler = self.on_notice
         parts.router.started(target)
         return Placement(target, term, primary, parts.timer.now(), lease)
 
@@ -159,6 +166,28 @@
                 self._state.service, terms.session, position, terms.deadline
             )
 
+    async def settle(self, terms: Terms) -> None:
+        """Raise the session's position above all that it has read; raise Refusal."""
+        parts, state = self._parts, self._state
+        view = parts.group.view(state.service)
+        self._resolve_mark(view)
+        if state.mark is None:
+            return
+        if view.primary is None:
+            raise Refusal(codes.group.NO_PRIMARY, retry_after_s=_RETRY_AFTER_S)
+        # Whatever a replica has applied, the primary has as well.
+        position = await parts.group.acknowledge(
+            state.service, view.primary, view.term, terms.deadline
+        )
+        state.mark = None
+        state.session.observe(position)
+
+    def lost(self, placement: Placement) -> None:
+        """Doubt the target's other connections and have its state looked at."""
+        service = self._state.service
+        self._parts.group.suspect(service, placement.target, "connection lost")
+        self._parts.pools.pool(service, placement.target).close_idle()
+
     def done(self, placement: Placement, ok: bool, reusable: bool) -> None:
         """Give the connection back, or close it."""
         parts = self._parts
--- a/src/rosemaryridge/proxy/_session.py
+++ b/src/rosemaryridge/proxy/_session.py
@@ -2,33 +2,34 @@
 
 import typing as t
 
-from asyncpg.protocol.protocol import BUILTIN_TYPE_OID_MAP
+import asyncpg
 from pg_mimic.errors import PgError
 
-from rosemaryridge import codes
 from rosemaryridge.exceptions import Refusal
 from rosemaryridge.model import Outcome
+from rosemaryridge.proxy import _transaction_statements  # noqa: F401  (registers)
 from rosemaryridge.proxy._attempt import Work
 from rosemaryridge.proxy._autocommit import Autocommit
-from rosemaryridge.proxy._autocommit import ReadRun
-from rosemaryridge.proxy._autocommit import WriteRun
 from rosemaryridge.proxy._caller_state import Terms
 from rosemaryridge.proxy._describe import describe
+from rosemaryridge.proxy._describe import description_key
 from rosemaryridge.proxy._keyed import KeyedWriteRun
 from rosemaryridge.proxy._keyed import LookupRun
 from rosemaryridge.proxy._local import LOCAL
-from rosemaryridge.proxy._local import initial_state
 from rosemaryridge.proxy._parts import Parts
 from rosemaryridge.proxy._placing import Placer
 from rosemaryridge.proxy._query import Query
+from rosemaryridge.proxy._query import check_size
+from rosemaryridge.proxy._query import queries_of
+from rosemaryridge.proxy._runs import ReadRun
+from rosemaryridge.proxy._runs import WriteRun
+from rosemaryridge.proxy._setting_statements import initial_state
 from rosemaryridge.proxy._transaction import Transaction
 from rosemaryridge.request import RequestOptions
 from rosemaryridge.request import ServicePolicy
 from rosemaryridge.request import with_option
 from rosemaryridge.sql import Statement
 from rosemaryridge.sql import StatementClass
-from rosemaryridge.sql import cast_parameters
-from rosemaryridge.sql import split_leading_settings
 from rosemaryridge.wire import Answer
 from rosemaryridge.wire import CallerConnection
 from rosemaryridge.wire import CallerPortal
@@ -36,12 +37,12 @@
 from rosemaryridge.wire import Completion
 from rosemaryridge.wire import Description
 from rosemaryridge.wire import plain_fields
+from rosemaryridge.wire import target_fields
 
 _FAILED_TRANSACTION = "25P02"
 _SYNTAX_ERROR = "42601"
 # Thousands of the codes of callers and requests.
 _COUNTED_HERE = (1, 4)
-_UNKNOWN_OID = 705
 _ENDS = (StatementClass.COMMIT, StatementClass.ROLLBACK)
 _EMPTY = Statement("", StatementClass.EMPTY)
 
@@ -53,6 +54,7 @@
         self.parts = parts
         self.state = initial_state(service, business, login)
         self.placer = Placer(parts, self.state)
+        self.placer.on_notice = self._pass_notice
         self.transaction: Transaction | None = None
         self.connection: CallerConnection | None = None
         self.remembered: dict[str, str] = {}
@@ -88,19 +90,8 @@
         return self._queries(text, ())
 
     def _queries(self, text: str, param_oids: tuple[int, ...]) -> list[Query]:
-        self._check_size(text)
-        settings, rest = split_leading_settings(text)
-        statements = self.parts.statements.statements(rest)
-        return [
-            Query(statement, _cast(statement.text, param_oids), settings)
-            for statement in statements
-        ]
-
-    def _check_size(self, text: str) -> None:
-        limit = self.parts.cfg.callers.max_statement_bytes
-        if len(text) > limit or (len(text) * 4 > limit < len(text.encode())):
-            detail = f"the statement is larger than {limit} bytes"
-            raise Refusal(codes.caller.STATEMENT_TOO_LARGE, detail)
+        check_size(text, self.parts.cfg.callers.max_statement_bytes)
+        return queries_of(self.parts.statements, text, param_oids)
 
     # What a statement needs.
 
@@ -174,9 +165,13 @@
             )
         described = await self._description(portal, answer)
         work = Work(query.text, portal.params, described, answer)
-        if self.transaction is not None:
-            return await self.transaction.run(portal, work, max_rows, terms)
-        return await self._run_alone(work, max_rows, terms, read)
+        try:
+            if self.transaction is not None:
+                return await self.transaction.run(portal, work, max_rows, terms)
+            return await self._run_alone(work, max_rows, terms, read)
+        except asyncpg.FeatureNotSupportedError:
+            self.parts.descriptions.forget(description_key(self, query))
+            raise
 
     def _needs_transaction(self, alone: bool, read: bool, max_rows: int) -> bool:
         return not alone and (not read or max_rows > 0)
@@ -252,17 +247,10 @@
         """Send the caller a notice."""
         self.connection.send_notice(plain_fields(sqlstate, message, severity))
 
+    def _pass_notice(self, notice: t.Any) -> None:
+        self.connection.send_notice(target_fields(notice))
+
     def refused(self, refusal: Refusal) -> None:
         """Count a refusal, unless the part that made it has done so."""
         if refusal.code.number // 1000 in _COUNTED_HERE:
             self.parts.metrics.refuse(refusal.code, self.state.service)
-
-
-def _cast(text: str, param_oids: tuple[int, ...]) -> str:
-    if not any(param_oids):
-        return text
-    names = tuple(
-        "" if oid in (0, _UNKNOWN_OID) else BUILTIN_TYPE_OID_MAP.get(oid, "")
-        for oid in param_oids
-    )
-    return cast_parameters(text, names)
--- a/src/rosemaryridge/proxy/_transaction.py
+++ b/src/rosemaryridge/proxy/_transaction.py
@@ -15,6 +15,7 @@
 from rosemaryridge.proxy._attempt import total_tag
 from rosemaryridge.proxy._caller_state import CallerState
 from rosemaryridge.proxy._caller_state import Terms
+from rosemaryridge.proxy._commit import Commit
 from rosemaryridge.proxy._connect import CONNECTION_ERRORS
 from rosemaryridge.proxy._keyed import begin_with_record
 from rosemaryridge.proxy._parts import Parts
@@ -24,14 +25,8 @@
 from rosemaryridge.proxy._running import Running
 from rosemaryridge.proxy._running import cancel_quietly
 from rosemaryridge.proxy._running import run_aside
-from rosemaryridge.request import Answered
-from rosemaryridge.request import Confirm
-from rosemaryridge.request import Confirmed
-from rosemaryridge.request import ConfirmFailed
 from rosemaryridge.request import DeadlinePassed
-from rosemaryridge.request import Effect
 from rosemaryridge.request import Failed
-from rosemaryridge.request import Finish
 from rosemaryridge.request import Lost
 from rosemaryridge.request import Request
 from rosemaryridge.request import RequestKind
@@ -238,72 +233,12 @@
             raise Refusal(codes.request.TRANSACTION_LOST)
         if self._placement is None:
             return "COMMIT"
-        request = Request(RequestKind.COMMIT)
-        self.running = Running(request)
+        placement, self._placement = self._placement, None
+        commit = Commit(self._placer, placement, terms)
+        self.running = commit.running
         try:
-            return await self._commit(text, terms, request)
+            tag = await commit.run(text)
         finally:
             self.running = None
-
-    async def _commit(self, text: str, terms: Terms, request: Request) -> str:
-        placement, self._placement = self._placement, None
-        tag, error = "", None
-        try:
-            async with asyncio.timeout_at(terms.deadline):
-                tag, effect, error = await self._send_commit(placement, text, request)
-                if isinstance(effect, Confirm):
-                    effect = await self._confirm_commit(placement, terms, tag)
-        except TimeoutError:
-            effect = request.on_event(DeadlinePassed())
-        else:
-            if isinstance(effect, Confirmed | ConfirmFailed):
-                effect = request.on_event(effect)
-        return self._conclude(effect, tag, error)
-
-    def _conclude(self, effect: Effect, tag: str, error) -> str:
-        finish = t.cast(Finish, effect)
-        self._state.ended(finish.outcome, self.key)
-        if finish.code is not None:
-            raise Refusal(finish.code)
-        if error is not None:
-            raise error
-        if tag == "ROLLBACK":
-            self._state.last_outcome = Outcome.NOT_RUN
+            self._state.ended(commit.outcome, self.key)
         return tag
-
-    async def _send_commit(self, placement: Placement, text: str, request: Request):
-        connection = placement.connection
-        reusable = False
-        tag, error = "", None
-        try:
-            if connection.is_closed():
-                return tag, request.on_event(Lost()), None
-            request.on_event(Sent(placement.target, placement.primary))
-            self.running.connection = connection
-            tag = await connection.command(text)
-            effect = request.on_event(Answered())
-            reusable = not connection.in_transaction()
-        except asyncpg.PostgresError as exc:
-            error = exc
-            effect = request.on_event(Failed(exc.sqlstate or ""))
-            reusable = not connection.in_transaction()
-        except CONNECTION_ERRORS:
-            effect = request.on_event(Lost())
-        finally:
-            self.running.connection = None
-            self._placer.done(placement, ok=reusable, reusable=reusable)
-        return tag, effect, error
-
-    async def _confirm_commit(
-        self, placement: Placement, terms: Terms, tag: str
-    ) -> Confirmed | ConfirmFailed:
-        if tag == "ROLLBACK":
-            return Confirmed()
-        if not placement.primary:
-            self._placer.read_from_replica(placement)
-            return Confirmed()
-        try:
-            await self._placer.confirm(placement, terms)
-        except Refusal as exc:
-            return ConfirmFailed(exc.code)
-        return Confirmed()
--- /dev/null
+++ b/src/rosemaryridge/proxy/_transaction_statements.py
@@ -0,0 +1,110 @@
+"""Answer the statements that begin and end transactions."""
+
+import typing as t
+
+from pg_mimic.errors import PgError
+
+from rosemaryridge.proxy._transaction import Transaction
+from rosemaryridge.sql import StatementClass
+from rosemaryridge.wire import Completion
+
+if t.TYPE_CHECKING:
+    from rosemaryridge.proxy._session import ProxySession
+
+from rosemaryridge.proxy._local import LocalStatement
+from rosemaryridge.proxy._local import answers
+
+_ACTIVE_TRANSACTION = "25001"
+_NO_TRANSACTION = "25P01"
+
+
+@answers(StatementClass.BEGIN)
+class _Begin(LocalStatement):
+    async def run(self, session, query, answer) -> Completion:
+        statement = query.statement
+        current = session.transaction
+        if current is not None and not current.implicit:
+            message = "there is already a transaction in progress"
+            session.notice("WARNING", _ACTIVE_TRANSACTION, message)
+        elif current is not None:
+            current.implicit = False
+        else:
+            _begin(session, statement.text, statement.read_only)
+        return Completion("BEGIN")
+
+
+def _begin(session: "ProxySession", text: str, read_only: bool) -> None:
+    session.transaction = Transaction(
+        session.parts, session.placer, session.state, text, read_only
+    )
+
+
+@answers(StatementClass.COMMIT)
+class _Commit(LocalStatement):
+    async def run(self, session, query, answer) -> Completion:
+        transaction = session.transaction
+        if transaction is None:
+            message = "there is no transaction in progress"
+            session.notice("WARNING", _NO_TRANSACTION, message)
+            return Completion("COMMIT")
+        session.transaction = None
+        tag = await self._end(session, transaction, query)
+        if query.statement.chain:
+            _begin(session, transaction.begin, transaction.read_only)
+        return Completion(tag)
+
+    async def _end(self, session, transaction, query) -> str:
+        if transaction.failed:
+            await transaction.rollback()
+            return "ROLLBACK"
+        tag = await transaction.commit("COMMIT", session.terms(query))
+        if tag == "COMMIT":
+            _keep_settings(session, transaction)
+        return tag
+
+
+def _keep_settings(session: "ProxySession", transaction: Transaction) -> None:
+    for name, value in transaction.settings.items():
+        if value is None:
+            session.state.variables.pop(name, None)
+        else:
+            session.state.variables[name] = value
+
+
+@answers(StatementClass.ROLLBACK)
+class _Rollback(LocalStatement):
+    async def run(self, session, query, answer) -> Completion:
+        transaction, session.transaction = session.transaction, None
+        if transaction is None:
+            message = "there is no transaction in progress"
+            session.notice("WARNING", _NO_TRANSACTION, message)
+            return Completion("ROLLBACK")
+        await transaction.rollback()
+        if query.statement.chain:
+            _begin(session, transaction.begin, transaction.read_only)
+        return Completion("ROLLBACK")
+
+
+@answers(StatementClass.SAVEPOINT)
+class _Savepoint(LocalStatement):
+    async def run(self, session, query, answer) -> Completion:
+        transaction = session.transaction
+        if transaction is None:
+            message = "savepoints can only be used in transaction blocks"
+            raise PgError(_NO_TRANSACTION, message)
+        tag = await transaction.command(query.text, session.terms(query))
+        if query.statement.name == "rollback":
+            transaction.failed = False
+        return Completion(tag)
+
+
+@answers(StatementClass.CURSOR)
+class _Cursor(LocalStatement):
+    def forwarded(self, session, query) -> bool:
+        return session.transaction is not None
+
+    async def run(self, session, query, answer) -> Completion:
+        if query.text.lower().split()[:2] == ["close", "all"]:
+            return Completion("CLOSE CURSOR ALL")
+        message = "SQL cursors can only be used in transaction blocks"
+        raise PgError(_NO_TRANSACTION, message)
--- a/src/rosemaryridge/wire/__init__.py
+++ b/src/rosemaryridge/wire/__init__.py
@@ -14,13 +14,13 @@
 from rosemaryridge.wire._columns import convert
 from rosemaryridge.wire._errors import plain_fields
 from rosemaryridge.wire._errors import target_fields
+from rosemaryridge.wire._keep_alive import KeepAlive
+from rosemaryridge.wire._pass_through import formats_of
 from rosemaryridge.wire._scram import Verifier
 from rosemaryridge.wire._target_connection import Fetched
-from rosemaryridge.wire._target_connection import KeepAlive
 from rosemaryridge.wire._target_connection import Login
 from rosemaryridge.wire._target_connection import Prepared
 from rosemaryridge.wire._target_connection import TargetConnection
-from rosemaryridge.wire._target_connection import formats_of
 from rosemaryridge.wire._target_port import PgTargetPort
 
 __all__ = [
--- a/src/rosemaryridge/wire/_errors.py
+++ b/src/rosemaryridge/wire/_errors.py
@@ -1,12 +1,21 @@
 """Turn errors into the fields of an ErrorResponse."""
 
+import struct
+
 import asyncpg
+from pg_mimic.errors import PgError
 
 from rosemaryridge.codes import Code
 from rosemaryridge.exceptions import Refusal
+from rosemaryridge.telemetry import Log
+from rosemaryridge.telemetry import redact_error
 
 Fields = dict[str, str]
 
+_PROTOCOL_VIOLATION = "08P01"
+
+log = Log("wire")
+
 _TARGET_FIELDS = (
     ("S", "severity"),
     ("V", "severity_en"),
@@ -69,3 +78,19 @@
 def plain_fields(sqlstate: str, message: str, severity: str = "ERROR") -> Fields:
     """Return the fields of an error that PostgreSQL itself would report."""
     return {"S": severity, "V": severity, "C": sqlstate, "M": message}
+
+
+def fields_of(exc: Exception) -> Fields:
+    """Return the fields that tell a caller of any error."""
+    if isinstance(exc, Refusal):
+        return refusal_fields(exc)
+    if isinstance(exc, asyncpg.PostgresError):
+        return target_fields(exc)
+    if isinstance(exc, PgError):
+        return {**plain_fields(exc.sqlstate, exc.message), **exc.fields}
+    if isinstance(exc, UnicodeDecodeError):
+        return plain_fields("22021", "the message is not UTF-8")
+    if isinstance(exc, struct.error | IndexError):
+        return plain_fields(_PROTOCOL_VIOLATION, "the message is malformed")
+    log.error("A statement failed in the proxy.", error=redact_error(exc))
+    return plain_fields("XX000", f"internal error: {type(exc).__name__}")
--- a/src/rosemaryridge/wire/_target_connection.py
+++ b/src/rosemaryridge/wire/_target_connection.py
@@ -2,42 +2,24 @@
 
 import collections
 import dataclasses
-import socket
 import typing as t
 
 import asyncpg
 from asyncpg import connect_utils
-from asyncpg.protocol.protocol import BUILTIN_TYPE_OID_MAP
 from pg_mimic.errors import PROTOCOL_VIOLATION
 from pg_mimic.errors import PgError
 
 from rosemaryridge.model import Endpoint
-from rosemaryridge.wire._columns import BINARY_FORMAT
-from rosemaryridge.wire._columns import TEXT_FORMAT
 from rosemaryridge.wire._columns import Column
 from rosemaryridge.wire._columns import Description
 from rosemaryridge.wire._columns import Parameters
 from rosemaryridge.wire._columns import convert
-from rosemaryridge.wire._columns import formats_by_type
+from rosemaryridge.wire._keep_alive import KeepAlive
+from rosemaryridge.wire._keep_alive import set_keep_alive
+from rosemaryridge.wire._pass_through import Formats
+from rosemaryridge.wire._pass_through import PassThroughConnection
 
 _STATEMENT_CACHE_SIZE = 256
-_FORMAT_NAMES = {TEXT_FORMAT: "text", BINARY_FORMAT: "binary"}
-_ENCODERS = {TEXT_FORMAT: bytes.decode, BINARY_FORMAT: bytes}
-_DECODERS = {TEXT_FORMAT: str.encode, BINARY_FORMAT: bytes}
-
-# Formats by type; the default holds for every type that is not named.
-Formats = tuple[int, frozenset[tuple[int, int]]]
-_ALL_TEXT: Formats = (TEXT_FORMAT, frozenset())
-_ALL_BINARY: Formats = (BINARY_FORMAT, frozenset())
-
-
-def formats_of(columns: t.Sequence[Column], codes: t.Sequence[int]) -> Formats:
-    """Return the formats to prepare with, from Bind's format codes of a result."""
-    if not codes:
-        return _ALL_TEXT
-    if len(set(codes)) == 1:
-        return _ALL_BINARY if codes[0] == BINARY_FORMAT else _ALL_TEXT
-    return (BINARY_FORMAT, frozenset(formats_by_type(columns, codes).items()))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,16 +31,6 @@
     database: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeepAlive:
-    """Set how fast the kernel gives up a silent connection, in seconds."""
-
-    idle_s: int = 5
-    interval_s: int = 2
-    probes: int = 3
-    user_timeout_s: float = 10.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prepared:
     """Hold a statement that a target has prepared on one connection."""
@@ -76,52 +48,6 @@
     tag: str | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Introspected:
-    name: str = "none"
-
-
-class _PassThroughConnection(asyncpg.Connection):
-    """Hand every value on as bytes, in the format that is asked for."""
-
-    __slots__ = ("formats", "known_oids")
-
-    def __init__(self, *args: t.Any, **kwargs: t.Any):
-        super().__init__(*args, **kwargs)
-        self.formats: Formats | None = None
-        self.known_oids = set(BUILTIN_TYPE_OID_MAP)
-
-    def use_formats(self, formats: Formats) -> None:
-        if formats == self.formats:
-            return
-        named = dict(formats[1])
-        for oid in self.known_oids:
-            self._register(oid, named.get(oid, formats[0]))
-        self.formats = formats
-
-    def _register(self, oid: int, code: int) -> None:
-        settings = self._protocol.get_settings()
-        name = BUILTIN_TYPE_OID_MAP.get(oid, str(oid))
-        settings.add_python_codec(
-            oid,
-            name,
-            "pg_catalog",
-            [],
-            "scalar",
-            _ENCODERS[code],
-            _DECODERS[code],
-            _FORMAT_NAMES[code],
-        )
-
-    async def _introspect_types(self, typeoids, timeout):
-        default, named = self.formats
-        named = dict(named)
-        for oid in typeoids:
-            self.known_oids.add(oid)
-            self._register(oid, named.get(oid, default))
-        return [], _Introspected()
-
-
 class TargetConnection:
     """Be one connection to a target, used by one request at a time."""
 
@@ -135,7 +61,7 @@
         "variables",
     )
 
-    def __init__(self, conn: _PassThroughConnection, endpoint: Endpoint):
+    def __init__(self, conn: PassThroughConnection, endpoint: Endpoint):
         self._conn = conn
         protocol = conn._protocol
         self._backend = (protocol.backend_pid, protocol.backend_secret)
@@ -166,7 +92,7 @@
             timeout=timeout_s,
             ssl=False,
             statement_cache_size=0,
-            connection_class=_PassThroughConnection,
+            connection_class=PassThroughConnection,
         )
         set_keep_alive(conn, keep_alive or KeepAlive())
         return cls(conn, endpoint)
@@ -302,17 +228,3 @@
             params.values, oids, params.formats, prepared.param_formats, strict=True
         )
     ]
-
-
-def set_keep_alive(conn: asyncpg.Connection, keep_alive: KeepAlive) -> None:
-    """Let the kernel find a silent connection."""
-    sock = conn._transport.get_extra_info("socket")
-    if sock is None or sock.family == socket.AF_UNIX:
-        return
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, keep_alive.idle_s)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, keep_alive.interval_s)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, keep_alive.probes)
-    timeout_ms = int(keep_alive.user_timeout_s * 1000)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, timeout_ms)
--- a/src/rosemaryridge/wire/_target_port.py
+++ b/src/rosemaryridge/wire/_target_port.py
@@ -12,9 +12,9 @@
 from rosemaryridge.model import Position
 from rosemaryridge.model import Role
 from rosemaryridge.model import TargetStatus
-from rosemaryridge.wire._target_connection import KeepAlive
+from rosemaryridge.wire._keep_alive import KeepAlive
+from rosemaryridge.wire._keep_alive import set_keep_alive
 from rosemaryridge.wire._target_connection import Login
-from rosemaryridge.wire._target_connection import set_keep_alive
 
 _STATUS = "SELECT * FROM rosemaryridge.status()"
 _FENCE = "SELECT * FROM rosemaryridge.fence($1::bigint, $2::text)"
--- a/tests/integration/test_wire.py
+++ b/tests/integration/test_wire.py
@@ -8,6 +8,7 @@
 import psutil
 import psycopg
 
+from rosemaryridge.session import parse_token
 from rosemaryridge_testbed.fleet import FleetOptions
 from tests.integration.fleet_case import FleetCase
 
@@ -359,6 +360,15 @@
             read = f"/* rosemaryridge.token='{token}' */ SELECT body FROM note"
             self.assertEqual(await second.fetchval(f"{read} WHERE id = 501"), "mine")
 
+    async def test_token_covers_what_was_read(self):
+        async with self.caller() as writer, self.caller() as reader:
+            await writer.execute("INSERT INTO note VALUES (511, 'seen')")
+            written = parse_token(await writer.fetchval("SHOW rosemaryridge.token"))
+            seen = "SELECT body FROM note WHERE id = 511"
+            await self.until(lambda: reader.fetchval(seen))
+            read = parse_token(await reader.fetchval("SHOW rosemaryridge.token"))
+            self.assertGreaterEqual(read.position, written.position)
+
     async def test_request_key(self):
         async with self.caller() as conn:
             insert = "INSERT INTO note VALUES ($1, $2) RETURNING id"
