Write one action tree a request, without the text of errors

With log.actions set, each statement opens an action; the choice of a target, the target's end and the majority's confirmation are lines in its tree. The library would write an error's text into the end of an action, and a target's error quotes the caller's data: the action now ends with the error's type and SQLSTATE alone. The goodbye of a draining proxy is counted as well.

--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -13,10 +13,13 @@
 from rosemaryridge.proxy._parts import Parts
 from rosemaryridge.routing import Need
 from rosemaryridge.telemetry import STAGE_SECONDS
+from rosemaryridge.telemetry import Log
 from rosemaryridge.wire import TargetConnection
 
 _RETRY_AFTER_S = 0.5
 
+log = Log("request")
+
 
 @dataclasses.dataclass(slots=True)
 class Placement:
@@ -66,6 +69,7 @@
             raise
         lease.connection.notice_handler = self.on_notice
         parts.router.started(target)
+        log.note("A target is chosen.", target=target, term=term, primary=primary)
         return Placement(target, term, primary, parts.timer.now(), lease)
 
     async def _need(self, view, write: bool, terms: Terms, exclude) -> Need:
@@ -159,6 +163,7 @@
             self._state.service, placement.target, placement.term, terms.deadline
         )
         self._observe("acknowledge", begin)
+        log.note("A majority holds the position.", position=position)
         self._state.mark = None
         self._state.session.observe(position)
         if terms.session:
@@ -192,6 +197,7 @@
         """Give the connection back, or close it."""
         parts = self._parts
         self._observe("target", placement.started_at)
+        log.note("The target is done.", target=placement.target, ok=ok)
         latency_s = parts.timer.now() - placement.started_at
         parts.router.finished(placement.target, latency_s, ok)
         connection = placement.connection
--- a/src/rosemaryridge/proxy/_session.py
+++ b/src/rosemaryridge/proxy/_session.py
@@ -30,6 +30,7 @@
 from rosemaryridge.request import with_option
 from rosemaryridge.sql import Statement
 from rosemaryridge.sql import StatementClass
+from rosemaryridge.telemetry import Log
 from rosemaryridge.wire import Answer
 from rosemaryridge.wire import CallerConnection
 from rosemaryridge.wire import CallerPortal
@@ -39,6 +40,8 @@
 from rosemaryridge.wire import plain_fields
 from rosemaryridge.wire import target_fields
 
+log = Log("request")
+
 _FAILED_TRANSACTION = "25P02"
 _SYNTAX_ERROR = "42601"
 # Thousands of the codes of callers and requests.
@@ -166,9 +169,10 @@
         described = await self._description(portal, answer)
         work = Work(query.text, portal.params, described, answer)
         try:
-            if self.transaction is not None:
-                return await self.transaction.run(portal, work, max_rows, terms)
-            return await self._run_alone(work, max_rows, terms, read)
+            with log.action("statement", sql=query.text, service=self.state.service):
+                if self.transaction is not None:
+                    return await self.transaction.run(portal, work, max_rows, terms)
+                return await self._run_alone(work, max_rows, terms, read)
         except asyncpg.FeatureNotSupportedError:
             self.parts.descriptions.forget(description_key(self, query))
             raise
--- a/src/rosemaryridge/telemetry/_log.py
+++ b/src/rosemaryridge/telemetry/_log.py
@@ -71,14 +71,33 @@
         """Open an action of a request's tree where the settings ask for trees."""
         if not _SINK.actions:
             return contextlib.nullcontext()
-        kept = {key: redact(key, value) for key, value in fields.items()}
-        return eliot.start_action(action_type=f"{self.part}:{name}", **kept)
+        return _action(f"{self.part}:{name}", fields)
+
+    def note(self, sentence: str, **fields: t.Any) -> None:
+        """Write a line into a request's tree where the settings ask for trees."""
+        if _SINK.actions:
+            _write(self.part, sentence, LogLevel.DEBUG, fields)
 
     def _log(self, level: LogLevel, sentence: str, fields: dict[str, t.Any]) -> None:
         if _SINK.admits(self.part, sentence, level):
             _write(self.part, sentence, level, fields)
 
 
+@contextlib.contextmanager
+def _action(action_type: str, fields: dict[str, t.Any]) -> t.Iterator[None]:
+    kept = {key: redact(key, value) for key, value in fields.items()}
+    action = eliot.start_action(action_type=action_type, **kept)
+    try:
+        with action.context():
+            yield
+    except BaseException as exc:
+        # The library would write the error's text, which may quote a caller's data.
+        action.add_success_fields(error=redact("error", exc))
+        raise
+    finally:
+        action.finish()
+
+
 def start_logging(
     cfg: "LogSettings",
     timer: TimerService,
--- a/src/rosemaryridge/wire/_caller_connection.py
+++ b/src/rosemaryridge/wire/_caller_connection.py
@@ -71,6 +71,7 @@
 
     def _say_goodbye(self) -> None:
         refusal = Refusal(codes.caller.SHUTTING_DOWN)
+        self.session.refused(refusal)
         self._error(_errors.refusal_fields(refusal, "FATAL"))
         self.stream.flush()
         self.stream.writer.close()
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -118,6 +118,18 @@
         self.assertEqual(levels, [[1], [2], [3]])
         self.assertNotIn("x1y2", self.stream.getvalue())
 
+    def test_keeps_the_text_of_errors_out_of_actions(self):
+        self.start(actions=True)
+        with self.assertRaises(ValueError), Log("request").action("statement"):
+            raise ValueError("duplicate key visa-4111-2222")
+        self.assertEqual(self.lines()[-1]["error"], "ValueError")
+        self.assertNotIn("visa-4111-2222", self.stream.getvalue())
+
+    def test_writes_notes_only_into_trees(self):
+        self.start()
+        Log("request").note("A target is chosen.")
+        self.assertEqual(self.lines(), [])
+
 
 class RedactTest(unittest.TestCase):
     def test_hides_every_kind_of_literal(self):
