Plant each fault in real proxies and see the checker find it

Acknowledging early, electing without a majority, repeating unknown writes, ignoring the session's position and pooling abandoned connections each leave a history in which the checker finds the broken promise. The switch that skips fencing now skips the quorum that an election starts from as well, since no loss could be brought about otherwise. An error of a transaction that the caller never opened is a finding of its own.

--- a/src/rosemaryridge/group/_evidence.py
+++ b/src/rosemaryridge/group/_evidence.py
@@ -31,7 +31,8 @@
 class Evidence:
     """Hold each path's evidence and judge whether the primary must be replaced."""
 
-    def __init__(self, cfg: GroupSettings, view: GroupView):
+    def __init__(self, cfg: GroupSettings, view: GroupView, skip_quorum: bool = False):
+        self._skip_quorum = skip_quorum
         self.watchers = 1
         self._cfg = cfg
         self._detached_s = cfg.suspicion_s * _DETACHED_SHARE
@@ -81,7 +82,7 @@
         if self._term != self._view.term:
             self._term = self._view.term
             self._since.clear()
-        if not self.has_quorum(now):
+        if not self.has_quorum(now) and not self._skip_quorum:
             return None
         return self._against_none(now, patience_s) or self._against_primary(now)
 
--- a/src/rosemaryridge/group/_failover.py
+++ b/src/rosemaryridge/group/_failover.py
@@ -45,7 +45,7 @@
         self._rng = rng
         self._vm = vm
         self._skip_fencing = skip_fencing
-        self._evidence = Evidence(cfg, view)
+        self._evidence = Evidence(cfg, view, skip_fencing)
         self._rank: int | None = None
         self._election: Election | None = None
         self._highest_term = 0
--- a/src/rosemaryridge_testbed/history/__init__.py
+++ b/src/rosemaryridge_testbed/history/__init__.py
@@ -7,6 +7,7 @@
 from rosemaryridge_testbed.history._events import Promotion
 from rosemaryridge_testbed.history._events import Read
 from rosemaryridge_testbed.history._events import Row
+from rosemaryridge_testbed.history._events import Stray
 from rosemaryridge_testbed.history._events import Write
 
 __all__ = [
@@ -16,6 +17,7 @@
     "Promotion",
     "Read",
     "Row",
+    "Stray",
     "Write",
     "check",
 ]
--- a/src/rosemaryridge_testbed/history/_check.py
+++ b/src/rosemaryridge_testbed/history/_check.py
@@ -74,6 +74,12 @@
                 yield Finding(Promise.OWN_ANSWER, read.session, row.key)
 
 
+@_rule
+def _isolated(history: History) -> t.Iterator[Finding]:
+    for stray in history.strays:
+        yield Finding(Promise.ISOLATED, stray.session, "", stray.sqlstate)
+
+
 @_rule
 def _lasting(history: History) -> t.Iterator[Finding]:
     held = {row.key for row in history.final}
--- a/src/rosemaryridge_testbed/history/_events.py
+++ b/src/rosemaryridge_testbed/history/_events.py
@@ -19,6 +19,7 @@
     MONOTONIC = "a read covers what its session read before"
     LASTING = "what a read showed is there in the end"
     OWN_ANSWER = "a caller gets the answer to its own request"
+    ISOLATED = "no transaction mixes with another's"
     CURRENT_TERM = "a replaced primary acknowledges nothing"
 
 
@@ -57,6 +58,14 @@
     rows: tuple[Row, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stray:
+    """Record an error of a transaction that the caller had not opened."""
+
+    session: str
+    sqlstate: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Promotion:
     """Record that a new primary was seen to lead a term."""
@@ -73,6 +82,7 @@
     reads: tuple[Read, ...]
     final: tuple[Row, ...]
     promotions: tuple[Promotion, ...] = ()
+    strays: tuple[Stray, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/rosemaryridge_testbed/load/_caller.py
+++ b/src/rosemaryridge_testbed/load/_caller.py
@@ -12,6 +12,7 @@
 from rosemaryridge_testbed.fleet import Fleet
 from rosemaryridge_testbed.history import Read
 from rosemaryridge_testbed.history import Row
+from rosemaryridge_testbed.history import Stray
 from rosemaryridge_testbed.history import Write
 from rosemaryridge_testbed.load._recorder import Recorder
 
@@ -20,6 +21,8 @@
 
 _OUTCOME = re.compile(r"outcome: ([a-z ]+)")
 _UNKNOWN_STATES = ("40003", "57P01", "57014")
+# What only a statement in an open transaction can be told.
+_TRANSACTION_STATES = ("25001", "25P01", "25P02")
 _LOST = (OSError, asyncpg.InterfaceError, asyncpg.InternalClientError)
 
 
@@ -110,6 +113,7 @@
             await conn.execute(INSERT, self.session, key, 1, timeout=self._timeout_s)
         except (*_LOST, asyncpg.PostgresError) as exc:
             self._give_up(vm, exc)
+            self._note_stray(exc)
             return outcome_of(exc)
         return Outcome.DONE
 
@@ -140,6 +144,7 @@
             found = await conn.fetch(SELECT, self.session, timeout=self._timeout_s)
         except (*_LOST, asyncpg.PostgresError) as exc:
             self._give_up(vm, exc)
+            self._note_stray(exc)
             return False
         ended = time.monotonic()
         rows = tuple(Row(record["session"], record["key"]) for record in found)
@@ -164,6 +169,11 @@
             return False
         return True
 
+    def _note_stray(self, exc: BaseException) -> None:
+        state = getattr(exc, "sqlstate", None) or ""
+        if state in _TRANSACTION_STATES:
+            self._recorder.strays.append(Stray(self.session, state))
+
     def _give_up(self, vm: str, exc: BaseException) -> None:
         self._recorder.count_error(exc)
         broken = not isinstance(exc, asyncpg.PostgresError)
--- a/src/rosemaryridge_testbed/load/_load.py
+++ b/src/rosemaryridge_testbed/load/_load.py
@@ -44,7 +44,8 @@
 class LoadOptions:
     """Set the callers' number and mix; `pace_s` is the mean pause between requests.
 
-    Callers alternate between carrying a token and naming their session.
+    Callers alternate between carrying a token and naming their session. `settings`
+    are sent as each connection opens.
     """
 
     callers: int = 12
@@ -52,6 +53,7 @@
     transaction_share: float = 0.3
     pace_s: float = 0.02
     seed: int = 1
+    settings: t.Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 class Load:
@@ -95,7 +97,9 @@
         rng = random.Random(f"{self._options.seed}/{index}")
         session = f"s{index}"
         by_token = index % 2 == 0
-        settings = {} if by_token else {"rosemaryridge.session": session}
+        settings = dict(self._options.settings)
+        if not by_token:
+            settings["rosemaryridge.session"] = session
         caller = Caller(self._fleet, self.recorder, session, settings, by_token)
         try:
             while not self._stopping:
--- a/src/rosemaryridge_testbed/load/_recorder.py
+++ b/src/rosemaryridge_testbed/load/_recorder.py
@@ -8,6 +8,7 @@
 from rosemaryridge_testbed.history import Promotion
 from rosemaryridge_testbed.history import Read
 from rosemaryridge_testbed.history import Row
+from rosemaryridge_testbed.history import Stray
 from rosemaryridge_testbed.history import Write
 
 
@@ -18,6 +19,7 @@
     writes: list[Write] = dataclasses.field(default_factory=list)
     reads: list[Read] = dataclasses.field(default_factory=list)
     promotions: list[Promotion] = dataclasses.field(default_factory=list)
+    strays: list[Stray] = dataclasses.field(default_factory=list)
     errors: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def count_error(self, exc: BaseException) -> None:
@@ -48,5 +50,9 @@
     def history(self, final: tuple[Row, ...]) -> History:
         """Return the whole history."""
         return History(
-            tuple(self.writes), tuple(self.reads), final, tuple(self.promotions)
+            tuple(self.writes),
+            tuple(self.reads),
+            final,
+            tuple(self.promotions),
+            tuple(self.strays),
         )
--- /dev/null
+++ b/tests/integration/test_planted_faults.py
@@ -0,0 +1,106 @@
+"""Break the proxy on purpose and see the history checker find it."""
+
+import asyncio
+import dataclasses
+
+from rosemaryridge_testbed.fleet import FleetOptions
+from rosemaryridge_testbed.history import Promise
+from rosemaryridge_testbed.load import Caller
+from rosemaryridge_testbed.load import LoadOptions
+from rosemaryridge_testbed.load import now
+from tests.integration.trial_case import LATENCIES
+from tests.integration.trial_case import TrialCase
+
+
+def planted(**switches):
+    """Return a fleet's options with faults switched on in every proxy."""
+    settings = {"faults": {"enabled": True, **switches}}
+    return FleetOptions(latencies=LATENCIES, settings=settings)
+
+
+class TestAcknowledgeEarly(TrialCase):
+    options = planted(acknowledge_early=True)
+
+    async def test_lost_writes_are_found(self):
+        for target in ("t2", "t3"):
+            await self.fleet.admin.set_target(target, receive_lag_ms=1000.0)
+        await self.trial.run_for(2.0)
+        fault_at = now()
+        await self.fleet.cut_off("t1")
+        await self.trial.until_writable(fault_at, 60.0)
+        await self.fleet.cut_off("t1", cut=False)
+        await self.trial.finish()
+        self.assertIn(Promise.DURABLE, self.promises_broken())
+
+
+class TestSkipFencing(TrialCase):
+    options = planted(skip_fencing=True)
+
+    async def test_lost_writes_are_found(self):
+        caller = Caller(self.fleet, self.recorder, "side")
+        self.addAsyncCleanup(caller.close)
+        # t1 and t3 stay with p1; t2, p2 and p3 are on the other side.
+        sides = ["t1/p2", "t1/p3", "t3/p2", "t3/p3", "t2/p1", "t2<t1", "t1<t2"]
+        await self.fleet.admin.set_target("t3", receive_lag_ms=30.0)
+        await self.until_more()
+        fault_at = now()
+        await self.fleet.admin.set_links(*sides, cut_up=True, cut_down=True)
+        writing = asyncio.ensure_future(self.write_until(caller, "p1"))
+        await self.until(lambda: max(self.terms()) > 1, "an unfenced promotion")
+        self.fleet.processes.kill("p1")
+        await writing
+        await self.fleet.admin.set_links(*sides, cut_up=False, cut_down=False)
+        self.fleet.processes.restart("p1")
+        await self.trial.until_writable(fault_at, 60.0)
+        await self.trial.finish()
+        self.assertIn(Promise.DURABLE, self.promises_broken())
+
+    async def write_until(self, caller, proxy):
+        """Write as long as the proxy runs."""
+        while self.fleet.processes.exit_status(proxy) is None:
+            await caller.write(proxy)
+
+
+class TestRetryUnknown(TrialCase):
+    options = planted(retry_unknown=True)
+    load = LoadOptions(callers=8, write_share=0.9, transaction_share=0.0, pace_s=0.01)
+
+    async def test_doubled_writes_are_found(self):
+        links = self.fleet.proxy_links("t1")
+        for _ in range(4):
+            await self.fleet.admin.set_links(*links, cut_down=True)
+            await self.trial.run_for(0.2)
+            await self.fleet.admin.command_links("close-all", *links)
+            await self.fleet.admin.set_links(*links, cut_down=False)
+            await self.until_more(10)
+        await self.trial.finish()
+        self.assertIn(Promise.ONCE, self.promises_broken())
+
+
+class TestIgnoreToken(TrialCase):
+    apply_lag_ms = 300.0
+    options = planted(ignore_token=True)
+
+    async def test_stale_reads_are_found(self):
+        await self.trial.run_for(4.0)
+        await self.trial.finish()
+        self.assertIn(Promise.OWN_WRITES, self.promises_broken())
+
+
+class TestReuseAbandoned(TrialCase):
+    options = dataclasses.replace(planted(reuse_abandoned=True), proxies=1)
+    load = LoadOptions(
+        callers=16,
+        write_share=0.5,
+        pace_s=0.01,
+        settings={"rosemaryridge.deadline": "0.25"},
+    )
+
+    async def test_mixed_work_is_found(self):
+        for target in self.fleet.targets:
+            await self.fleet.admin.set_target(target, statement_ms=60.0)
+        await self.trial.run_for(6.0)
+        for target in self.fleet.targets:
+            await self.fleet.admin.set_target(target, statement_ms=0.0)
+        await self.trial.finish()
+        self.assertIn(Promise.ISOLATED, self.promises_broken())
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -12,6 +12,7 @@
 from rosemaryridge_testbed.history import Promotion
 from rosemaryridge_testbed.history import Read
 from rosemaryridge_testbed.history import Row
+from rosemaryridge_testbed.history import Stray
 from rosemaryridge_testbed.history import Write
 from rosemaryridge_testbed.history import check
 
@@ -75,6 +76,10 @@
         reads = [read(1, "a", owner="other")]
         self.assert_found(Promise.OWN_ANSWER, (), reads, rows("a", session="other"))
 
+    def test_error_of_another_transaction(self):
+        history = History((), (), (), (), (Stray("s", "25P02"),))
+        self.assertEqual(check(history)[0].promise, Promise.ISOLATED)
+
     def test_acknowledged_by_a_replaced_primary(self):
         writes = [write("a", 5, position=Position(1, 9))]
         promotions = [Promotion(2, 4.0)]
