--- a/src/rosemaryridge_testbed/experiments/__init__.py
+++ b/src/rosemaryridge_testbed/experiments/__init__.py
@@ -3,6 +3,7 @@
 from rosemaryridge_testbed.experiments import _isolation as _isolation
 from rosemaryridge_testbed.experiments import _overload as _overload
 from rosemaryridge_testbed.experiments import _routing as _routing
+from rosemaryridge_testbed.experiments import _slopes as _slopes
 from rosemaryridge_testbed.experiments._cluster import Cluster
 from rosemaryridge_testbed.experiments._network import Latency
 from rosemaryridge_testbed.experiments._network import Network
