Let a read wait for a replica that is about to catch up

Change: a read that only the primary could serve waits up to the rule's replica_wait_s (0.2 s) for a replica that is not known to lag by more.

--- a/src/rosemaryridge/config/_service.py
+++ b/src/rosemaryridge/config/_service.py
@@ -57,7 +57,9 @@
 
     `pattern` is a regular expression, searched for in the statement's text without
     case. `max_age_s` is the age of data that a read accepts in seconds, None where
-    only the session's own position binds. The first rule that matches applies.
+    only the session's own position binds. `replica_wait_s` is how long a read waits
+    for a replica that is about to catch up, before it goes to the primary. The first
+    rule that matches applies.
     """
 
     name: Name = setting(doc="Name of the rule.")
@@ -67,6 +69,9 @@
     max_age_s: Seconds | None = setting(
         None, "Age of data that its reads accept; null: the session's own writes bind."
     )
+    replica_wait_s: Seconds = setting(
+        0.2, "Time that its reads wait for a replica to catch up; 0: never."
+    )
     idempotent: bool = setting(False, "Whether it may run twice.")
     priority: Priority = setting(Priority.NORMAL, "Order in which requests are shed.")
 
--- a/src/rosemaryridge/group/_group.py
+++ b/src/rosemaryridge/group/_group.py
@@ -19,6 +19,7 @@
 
 _PACE_GROWTH = 1.5
 _MAX_PACE_S = 0.05
+_WATCH_PACE_S = 0.05
 
 
 class Group:
@@ -42,6 +43,7 @@
         self._port = port
         self._window = AcknowledgeWindow(self.view, faults.acknowledge_early)
         self._futures: dict[int, asyncio.Future[Settled | None]] = {}
+        self._watching: set[asyncio.Future[bool]] = set()
         self._paces: dict[str, float] = {}
         self._pollers: dict[str, Poller] = {}
         self._rebuild_pollers()
@@ -85,6 +87,9 @@
         if self.view.observe(target, entry):
             self._primary_changed()
         self._settle()
+        for future in self._watching:
+            if not future.done():
+                future.set_result(True)
 
     async def wait(self, waiter: Waiter, deadline: float) -> Settled | None:
         """Return how the wait ended, or None at the deadline."""
@@ -106,6 +111,22 @@
             self._futures.pop(key, None)
             self._window.drop(key)
 
+    async def next_status(self, until: float) -> bool:
+        """Return whether a target's status came in before a monotonic time."""
+        future = asyncio.get_running_loop().create_future()
+        self._watching.add(future)
+        for poller in self._pollers.values():
+            poller.kick(_WATCH_PACE_S)
+        expiry = self._timer.after(
+            until - self._timer.now(),
+            lambda: future.done() or future.set_result(False),
+        )
+        try:
+            return await future
+        finally:
+            expiry.cancel()
+            self._watching.discard(future)
+
     def _rebuild_pollers(self) -> None:
         wanted = {target.name: target for target in self.service.targets}
         for name, poller in list(self._pollers.items()):
--- a/src/rosemaryridge/group/_service.py
+++ b/src/rosemaryridge/group/_service.py
@@ -176,6 +176,10 @@
         covered = max(position, Position(term, 0))
         await self._wait(service, Waiter(target, term, since, covered, True), deadline)
 
+    async def next_status(self, service: str, until: float) -> bool:
+        """Return whether a target's status came in before a monotonic time."""
+        return await self._groups[service].next_status(until)
+
     def suspect(self, service: str, target: str, reason: str) -> None:
         """Look at a target again at once, on evidence from requests."""
         driver = self._drivers.get(service)
--- a/src/rosemaryridge/proxy/_caller_state.py
+++ b/src/rosemaryridge/proxy/_caller_state.py
@@ -53,6 +53,7 @@
     deadline: float
     request_key: str
     session: str
+    replica_wait_s: float = 0.0
 
     @classmethod
     def of(
@@ -73,4 +74,5 @@
             deadline=now + (options.deadline_s or default_deadline_s),
             request_key=options.request_key,
             session=options.session,
+            replica_wait_s=rule.replica_wait_s,
         )
--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -53,6 +53,8 @@
         view = parts.group.view(state.service)
         need = await self._need(view, write, terms, exclude)
         service = parts.policy(state.service).service
+        if not need.write:
+            await self._await_replica(service, view, need, terms)
         target = parts.router.choose(service, view, need, parts.timer.now())
         term, primary = view.term, target == view.primary
         begin = parts.timer.now()
@@ -72,6 +74,17 @@
         log.note("A target is chosen.", target=target, term=term, primary=primary)
         return Placement(target, term, primary, parts.timer.now(), lease)
 
+    async def _await_replica(self, service, view, need: Need, terms: Terms) -> None:
+        """Wait while a replica is about to catch up; the primary has less to give."""
+        parts = self._parts
+        wait_s = terms.replica_wait_s
+        until = min(terms.deadline, parts.timer.now() + wait_s)
+        while parts.router.replica_expected(
+            service, view, need, wait_s, parts.timer.now()
+        ):
+            if not await parts.group.next_status(service.name, until):
+                return
+
     async def _need(self, view, write: bool, terms: Terms, exclude) -> Need:
         if write:
             return Need(write=True, exclude=exclude)
--- a/src/rosemaryridge/routing/_freshness.py
+++ b/src/rosemaryridge/routing/_freshness.py
@@ -41,6 +41,13 @@
             return float("inf")
         return max(0.0, now - self._times[index])
 
+    def lag_s(self, applied: Position, now: float) -> float:
+        """Return for how long at least a replica has been behind, in seconds."""
+        index = bisect.bisect_right(self._positions, applied)
+        if index == len(self._positions):
+            return 0.0
+        return max(0.0, now - self._times[index])
+
     def _replaces_last(self, position: Position, seen_at: float) -> bool:
         if position == self._positions[-1]:
             return True
--- a/src/rosemaryridge/routing/_router.py
+++ b/src/rosemaryridge/routing/_router.py
@@ -1,5 +1,6 @@
 """Choose the target that serves a request."""
 
+import dataclasses
 import random
 import typing as t
 
@@ -8,6 +9,7 @@
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.config import TargetConfig
 from rosemaryridge.exceptions import Refusal
+from rosemaryridge.model import ORIGIN
 from rosemaryridge.model import Position
 from rosemaryridge.model import Role
 from rosemaryridge.routing._freshness import PrimaryHistory
@@ -69,6 +71,30 @@
             return self._pick(replicas, now)
         raise self._refusal(codes.limits.NO_TARGET, service)
 
+    def replica_expected(
+        self,
+        service: ServiceConfig,
+        view: GroupView,
+        need: Need,
+        wait_s: float,
+        now: float,
+    ) -> bool:
+        """Return whether only the primary fits, but a replica will within a wait.
+
+        A replica whose lag exceeds the wait in seconds is not expected.
+        """
+        self._observe(service.name, view)
+        if view.primary is None or self._replicas(service, view, need, now):
+            return False
+        caught_up = dataclasses.replace(need, position=ORIGIN, max_age_s=None)
+        replicas = self._replicas(service, view, caught_up, now)
+        history = self._history[service.name][2]
+        lags = (
+            history.lag_s(seen.status.applied, seen.seen_at)
+            for seen in (view.statuses[one.name] for one in replicas)
+        )
+        return any(lag_s <= wait_s for lag_s in lags)
+
     def started(self, target: str) -> None:
         """Count a request sent to a target."""
         self.health(target).started(self._timer.now())
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -142,6 +142,30 @@
                 "r2",
             )
 
+    def test_a_replica_about_to_catch_up_is_expected(self):
+        need = Need(position=Position(2, 110))
+        self.timer.advance(1.0)
+        self.router.choose(SERVICE, view(100, 100, 100, 1.0), Need(write=True), 1.0)
+        seen = view(110, 100, 100, 1.1)
+        self.assertTrue(self.router.replica_expected(SERVICE, seen, need, 0.2, 1.1))
+
+    def test_a_replica_far_behind_is_not_waited_for(self):
+        need = Need(position=Position(2, 110))
+        self.router.choose(SERVICE, view(100, 50, 50, 0.0), Need(write=True), 0.0)
+        seen = view(110, 50, 50, 5.0)
+        self.assertFalse(self.router.replica_expected(SERVICE, seen, need, 0.2, 5.0))
+
+    def test_nothing_is_waited_for_where_a_replica_fits(self):
+        need = Need(position=Position(2, 110))
+        seen = view(110, 110, 50, 0.0)
+        self.assertFalse(self.router.replica_expected(SERVICE, seen, need, 0.2, 0.0))
+
+    def test_nothing_is_waited_for_without_a_primary(self):
+        need = Need(position=Position(2, 110))
+        seen = view(110, 105, 105, 0.0)
+        seen.primary = None
+        self.assertFalse(self.router.replica_expected(SERVICE, seen, need, 0.2, 0.0))
+
 
 class PrimaryHistoryTest(unittest.TestCase):
     @given(st.lists(st.tuples(st.integers(0, 3), st.floats(0.001, 2.0)), max_size=400))
