--- a/src/rosemaryridge/cli/publish.py
+++ b/src/rosemaryridge/cli/publish.py
@@ -17,16 +17,16 @@
 from rosemaryridge.cli._common import describe
 from rosemaryridge.cli._common import exit_status
 from rosemaryridge.cli._common import fail
-from rosemaryridge.cli._common import table
 from rosemaryridge.cli._common import version_option
-from rosemaryridge.config import Difference
+from rosemaryridge.cli._revisions import history_table
+from rosemaryridge.cli._revisions import show_changes
+from rosemaryridge.cli._revisions import show_plan
 from rosemaryridge.config import Plan
 from rosemaryridge.config import Publication
 from rosemaryridge.config import Publisher
 from rosemaryridge.config import Revision
 from rosemaryridge.config import RevisionConflict
 from rosemaryridge.config import SourcedService
-from rosemaryridge.config import differences
 from rosemaryridge.config import find_revision
 from rosemaryridge.exceptions import Refusal
 from rosemaryridge.exceptions import SettingsError
@@ -39,7 +39,6 @@
 
 _CALLS_PER_S = 50
 _CALL_BURST = 100
-_SHOWN_CHANGES = 3
 
 platform_option = click.option(
     "--platform",
@@ -107,7 +106,7 @@
     sources = collect(paths)
     async with _open(base_url, total_s) as publisher:
         for plan in await _plans(publisher, sources):
-            _show_plan(plan)
+            show_plan(plan)
 
 
 @main.command()
@@ -140,7 +139,7 @@
         plans = await _plans(publisher, sources)
         _check_expected(plans, expected)
         for plan in plans:
-            _show_plan(plan)
+            show_plan(plan)
         changed = [plan for plan in plans if plan.changes]
         if changed and not yes:
             click.confirm(f"Publish {len(changed)} services?", abort=True)
@@ -157,8 +156,7 @@
     async with _open(base_url, total_s) as publisher:
         revisions = await publisher.history(service)
     _require(revisions, service)
-    rows = [_history_row(*pair) for pair in _with_previous(revisions)]
-    click.echo(table(("revision", "at", "by", "changes", "note"), rows))
+    click.echo(history_table(revisions))
 
 
 @main.command("roll-forward")
@@ -179,7 +177,7 @@
             raise click.UsageError(f"{service} has no revision {revision}.")
         source = SourcedService(f"revision {revision}", past.service())
         (plan,) = await _plans(publisher, [source])
-        _show_plan(plan)
+        show_plan(plan)
         if plan.changes and not yes:
             click.confirm(f"Publish {service} again as of {revision}?", abort=True)
         note = f"content of revision {revision}"
@@ -219,7 +217,7 @@
     click.echo(f"{plan.service.name}: {describe(exc, code)}", err=True)
     if isinstance(exc, RevisionConflict):
         click.echo("The other change:", err=True)
-        _show_changes(exc.changes, err=True)
+        show_changes(exc.changes, err=True)
     return exit_status(code)
 
 
@@ -247,41 +245,10 @@
             raise Refusal(codes.config.REVISION_CONFLICT, detail)
 
 
-def _show_plan(plan: Plan) -> None:
-    name, stored = plan.service.name, plan.base.version
-    if not plan.changes:
-        click.echo(f"{name}: unchanged, revision {stored}")
-        return
-    click.echo(f"{name}: changes over revision {stored}" if stored else f"{name}: new")
-    _show_changes(plan.changes)
-
-
-def _show_changes(changes: t.Iterable[Difference], err: bool = False) -> None:
-    for change in changes:
-        click.echo(f"  {change}", err=err)
-
-
 def _require(revisions: t.Sequence[Revision], service: str) -> None:
     if not revisions:
         raise click.UsageError(f"{service} was never published.")
 
 
-def _with_previous(
-    revisions: t.Sequence[Revision],
-) -> t.Iterator[tuple[Revision, dict[str, t.Any]]]:
-    for position, revision in enumerate(revisions):
-        later = revisions[position + 1 : position + 2]
-        yield revision, later[0].document if later else {}
-
-
-def _history_row(revision: Revision, previous: dict[str, t.Any]) -> tuple[t.Any, ...]:
-    by = revision.publication
-    changes = differences(previous, revision.document)
-    paths = [change.path for change in changes[:_SHOWN_CHANGES]]
-    more = len(changes) - len(paths)
-    text = ", ".join(paths) + (f" and {more} more" if more > 0 else "")
-    return revision.revision, by.at or None, by.by or None, text, by.note or None
-
-
 if __name__ == "__main__":
     main()
--- a/src/rosemaryridge/config/_check.py
+++ b/src/rosemaryridge/config/_check.py
@@ -3,6 +3,7 @@
 import dataclasses
 import difflib
 import enum
+import functools
 import types
 import typing as t
 
@@ -159,7 +160,7 @@
     def _build_fields(
         self, kind: type, fields: list[dataclasses.Field], value: dict, path: str
     ) -> dict[str, t.Any]:
-        hints = t.get_type_hints(kind, include_extras=True)
+        hints = _hints(kind)
         given = {}
         for field in fields:
             where = join(path, field.name)
@@ -200,6 +201,11 @@
                 self.fault(join(path, problem.path), problem.found, problem.allowed)
 
 
+@functools.cache
+def _hints(kind: type) -> dict[str, t.Any]:
+    return t.get_type_hints(kind, include_extras=True)
+
+
 def _within(value: t.Any, bound: t.Any) -> bool:
     if isinstance(bound, Between):
         return bound.low <= value <= bound.high
--- a/src/rosemaryridge_testbed/cli/services.py
+++ b/src/rosemaryridge_testbed/cli/services.py
@@ -18,7 +18,6 @@
 from rosemaryridge_testbed.virtual import WaitingStore
 from rosemaryridge_testbed.virtual import advance
 
-_LATENCY_S = 0.0015
 _NEIGHBOURS = 4
 _STEP_S = 0.01
 _SETTLE_S = 10.0
@@ -29,10 +28,10 @@
 class _Trial:
     """Hold a virtual fleet that follows services."""
 
-    def __init__(self, proxies: int, services: int, seed: int):
+    def __init__(self, proxies: int, services: int, latency_s: float, seed: int):
         self.timer = ManualTimer()
         self.rng = random.Random(seed)
-        self.network = VirtualNetwork(self.timer, self.rng, _LATENCY_S)
+        self.network = VirtualNetwork(self.timer, self.rng, latency_s)
         self.store = WaitingStore(self.timer)
         self.names = [f"service{n}" for n in range(services)]
         self.cfg = ServicesSettings()
@@ -87,8 +86,10 @@
         return all(one.current()[name].revision == revision for one in self.followers)
 
 
-async def _run(proxies: int, services: int, changes: int, seed: int) -> None:
-    trial = _Trial(proxies, services, seed)
+async def _run(
+    proxies: int, services: int, changes: int, latency_s: float, seed: int
+) -> None:
+    trial = _Trial(proxies, services, latency_s, seed)
     await trial.start()
     click.echo(f"cold start of {proxies}: {trial.timer.now():.2f} s")
     click.echo(f"  calls: {trial.store.calls - services}")
@@ -129,10 +130,13 @@
 @click.option("--proxies", default=100, show_default=True)
 @click.option("--services", default=70, show_default=True)
 @click.option("--changes", default=20, show_default=True)
+@click.option("--latency-ms", default=1.5, show_default=True)
 @click.option("--seed", default=1, show_default=True)
-def main(proxies: int, services: int, changes: int, seed: int) -> None:
+def main(
+    proxies: int, services: int, changes: int, latency_ms: float, seed: int
+) -> None:
     """Count calls and bytes of following services, in virtual time."""
-    asyncio.run(_run(proxies, services, changes, seed))
+    asyncio.run(_run(proxies, services, changes, latency_ms / 1000.0, seed))
 
 
 if __name__ == "__main__":
--- a/tests/integration/test_publish.py
+++ b/tests/integration/test_publish.py
@@ -63,11 +63,14 @@
         return path
 
     async def publish(self, path: pathlib.Path, *options: str) -> tuple[int, str]:
+        """Publish a file; return the exit status and output."""
+        return await self.program("publish", str(path), "--yes", *options)
+
+    async def program(self, *args: str) -> tuple[int, str]:
         """Run the publishing program; return its exit status and output."""
-        command = [sys.executable, "-m", "rosemaryridge.cli.publish", "publish"]
-        command += [str(path), "--platform", self.url, "--yes", *options]
+        module = "rosemaryridge.cli.publish"
         proc = await asyncio.create_subprocess_exec(
-            *command,
+            *(sys.executable, "-m", module, *args, "--platform", self.url),
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
@@ -132,6 +135,24 @@
         history = await publisher.history(SERVICE)
         self.assertEqual([one.revision for one in history][:2], [stored.revision, base])
 
+    async def test_earlier_content_comes_back_as_a_new_revision(self):
+        before = await self.stored()
+        path = await self.write_file(51.0)
+        _, output = await self.program("diff", str(path))
+        self.assertIn(f"default_deadline_s: {before.default_deadline_s} -> 51", output)
+        status, output = await self.publish(path, "--by", "ana", "--note", "trial")
+        self.assertEqual(status, 0, output)
+        changed = (await self.stored()).revision
+        status, output = await self.program("history", SERVICE)
+        self.assertRegex(output, rf"{changed} .*ana .*default_deadline_s .*trial")
+        args = ("roll-forward", SERVICE, str(before.revision), "--yes")
+        status, output = await self.program(*args)
+        self.assertEqual(status, 0, output)
+        after = await self.stored()
+        self.assertGreater(after.revision, changed)
+        self.assertEqual(after.default_deadline_s, before.default_deadline_s)
+        await self.in_force(after.revision)
+
     async def test_a_proxy_restarted_in_an_outage_starts_from_its_peers(self):
         status, output = await self.publish(await self.write_file(41.0))
         self.assertEqual(status, 0, output)
