Limit floods in the proxy and avoid targets that cannot be reached

Cause: the proxy did not run the slot limits, and a target whose connections could not be opened gave the router no evidence, so that each read tried it first. A method that builds the configuration part stood twice. Change: the proxy starts the slot limits; a failed opening counts against the target's breaker; the repeated method is gone. Conclusion: unit tests pass, one of them for the breaker.

--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -58,9 +58,7 @@
         target = parts.router.choose(service, view, need, parts.timer.now())
         term, primary = view.term, target == view.primary
         begin = parts.timer.now()
-        lease = await parts.pools.acquire(
-            state.service, target, state.business, terms.priority, terms.deadline
-        )
+        lease = await self._acquire(target, terms)
         self._observe("queue", begin)
         try:
             await self._prepare(lease.connection)
@@ -85,6 +83,17 @@
             if not await parts.group.next_status(service.name, until):
                 return
 
+    async def _acquire(self, target: str, terms: Terms) -> PoolLease:
+        parts, state = self._parts, self._state
+        try:
+            return await parts.pools.acquire(
+                state.service, target, state.business, terms.priority, terms.deadline
+            )
+        except Refusal as exc:
+            if exc.code is codes.limits.NO_TARGET:
+                parts.router.failed(target)
+            raise
+
     async def _need(self, view, write: bool, terms: Terms, exclude) -> Need:
         if write:
             return Need(write=True, exclude=exclude)
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -16,6 +16,7 @@
 from rosemaryridge.pool import LeaseService
 from rosemaryridge.pool import Pools
 from rosemaryridge.pool import RetryBudget
+from rosemaryridge.pool import SlotService
 from rosemaryridge.proxy._admin import register
 from rosemaryridge.proxy._connect import Connector
 from rosemaryridge.proxy._factory import SessionFactory
@@ -33,7 +34,6 @@
 
 _CONTROL_DATABASE = "postgres"
 _BACKLOG = 1024
-_WATCH_KEY = "watch/services"
 _SERVICES_KEY = "services"
 _GRANTOR_KEY = "grantor/connections"
 _GRANTOR_CANDIDATES = 3
@@ -63,6 +63,7 @@
         )
         self.pools = self._pools()
         self.leases = self._leases()
+        self.limits = self._slot_limits()
         self.budget = RetryBudget()
         self.router = self._router()
         self.parts = self._parts()
@@ -83,18 +84,6 @@
             self.cfg.peers.seeds,
         )
 
-    def _config(self) -> ConfigService:
-        cfg = self.cfg.services
-        return ConfigService(
-            cfg,
-            self.timer,
-            self.rng,
-            self.store,
-            self.bus,
-            self.metrics,
-            lambda: self.cfg.vm in self.membership.holders(_WATCH_KEY, cfg.watchers),
-        )
-
     def _config(self) -> ConfigService:
         return ConfigService(
             self.cfg.services,
@@ -148,6 +137,16 @@
             self.pools,
         )
 
+    def _slot_limits(self) -> SlotService:
+        return SlotService(
+            self.timer,
+            self.rng,
+            self.identity,
+            self.bus,
+            self.membership.watchers,
+            self.pools,
+        )
+
     def _router(self) -> Router:
         return Router(
             self.timer,
@@ -191,6 +190,7 @@
         await self.group.start()
         await self.directory.start()
         await self.leases.start()
+        await self.limits.start()
         listen = self.cfg.callers.listen
         await self.server.start_server(listen.host, listen.port, backlog=_BACKLOG)
         log.info("Callers are served.", endpoint=str(listen))
@@ -211,6 +211,7 @@
         log.info("The proxy has stopped.")
 
     async def _stop_parts(self) -> None:
+        await self.limits.stop()
         await self.leases.stop()
         await self.directory.stop()
         await self.group.stop()
--- a/src/rosemaryridge/routing/_router.py
+++ b/src/rosemaryridge/routing/_router.py
@@ -103,6 +103,11 @@
         """Take in how long a request took and whether the target answered it."""
         self.health(target).finished(latency_s, ok, self._timer.now())
 
+    def failed(self, target: str) -> None:
+        """Take in that a target could not be reached."""
+        self.started(target)
+        self.finished(target, 0.0, ok=False)
+
     def health(self, target: str) -> TargetHealth:
         """Return the evidence about a target."""
         found = self._health.get(target)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -119,6 +119,12 @@
         chosen = [self.router.choose(SERVICE, view(), Need(), 0.1) for _ in range(100)]
         self.assertLess(chosen.count("r1"), 10)
 
+    def test_unreachable_target_is_avoided(self):
+        for _ in range(5):
+            self.router.failed("r1")
+        self.assertEqual(self.router.health("r1").outstanding, 0)
+        self.assertEqual(self.chosen(view(), Need()), {"r2"})
+
     def test_excluded_targets_are_not_tried_again(self):
         everything = frozenset({"p", "r1", "r2"})
         with self.assertRaises(Refusal) as caught:
