Give slow statements their time before a connection is doubted

Cause: a read that took longer than the silent timeout was cut and sent again, and could so miss its deadline each time. Change: the time that a statement's answers took is remembered by its text, in a bounded table; four times that, or the setting if longer, is waited. Keyed writes and look-ups find silent connections as well.

--- a/src/rosemaryridge/proxy/_autocommit.py
+++ b/src/rosemaryridge/proxy/_autocommit.py
@@ -232,12 +232,17 @@
         The target is not blamed: a connection that is opened anew may work. Each
         attempt is more patient than the one before, for what is only slow.
         """
-        patience_s = self._parts.cfg.targets.silent_timeout_s * 4**self._silences
-        doubt = self._parts.timer.after(patience_s, lambda: self._give_up(placement))
+        parts = self._parts
+        text = self._work.text if self._work is not None else ""
+        begin = parts.timer.now()
+        patience_s = parts.patience.seconds(text, self._silences)
+        doubt = parts.timer.after(patience_s, lambda: self._give_up(placement))
         try:
-            return await work
+            result = await work
         finally:
             doubt.cancel()
+        parts.patience.answered(text, parts.timer.now() - begin)
+        return result
 
     def _give_up(self, placement: Placement) -> None:
         self._silences += 1
--- a/src/rosemaryridge/proxy/_keyed.py
+++ b/src/rosemaryridge/proxy/_keyed.py
@@ -53,7 +53,9 @@
 
     async def _exchange(self, placement: Placement, max_rows: int) -> Effect:
         connection = placement.connection
-        record = await begin_with_record(connection, "BEGIN", self._keyed)
+        record = await self._patiently(
+            placement, begin_with_record(connection, "BEGIN", self._keyed)
+        )
         if record is None:
             await self._run_recorded(placement)
         else:
@@ -90,7 +92,9 @@
     async def _exchange(self, placement: Placement, max_rows: int) -> Effect:
         connection = placement.connection
         keyed = KeyedRequest(self._state.business, self._terms.request_key, "")
-        record = await begin_with_record(connection, "BEGIN", keyed, close_key)
+        record = await self._patiently(
+            placement, begin_with_record(connection, "BEGIN", keyed, close_key)
+        )
         self.request.on_event(Sent(placement.target, placement.primary))
         await connection.command("COMMIT")
         was_run = record is not None and record.was_run
--- a/src/rosemaryridge/proxy/_parts.py
+++ b/src/rosemaryridge/proxy/_parts.py
@@ -13,6 +13,7 @@
 from rosemaryridge.model import Position
 from rosemaryridge.pool import Pools
 from rosemaryridge.pool import RetryBudget
+from rosemaryridge.proxy._patience import Patience
 from rosemaryridge.request import ServicePolicy
 from rosemaryridge.routing import Router
 from rosemaryridge.session import Found
@@ -108,6 +109,7 @@
     group: Group
     directory: Directory
     budget: RetryBudget
+    patience: Patience
     statements: StatementCache = dataclasses.field(
         default_factory=lambda: StatementCache(_STATEMENTS)
     )
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -21,6 +21,7 @@
 from rosemaryridge.proxy._connect import Connector
 from rosemaryridge.proxy._factory import SessionFactory
 from rosemaryridge.proxy._parts import Parts
+from rosemaryridge.proxy._patience import Patience
 from rosemaryridge.routing import Router
 from rosemaryridge.session import SessionDirectory
 from rosemaryridge.telemetry import AdminServer
@@ -167,6 +168,7 @@
             self.group,
             self.directory,
             self.budget,
+            Patience(self.cfg.targets.silent_timeout_s),
         )
 
     def adopt(self, service: ServiceConfig) -> None:
