--- a/src/rosemaryridge/config/__init__.py
+++ b/src/rosemaryridge/config/__init__.py
@@ -20,6 +20,8 @@
 from rosemaryridge.config._publisher import Publisher
 from rosemaryridge.config._publisher import RevisionConflict
 from rosemaryridge.config._publisher import find_revision
+from rosemaryridge.config._reload import Reload
+from rosemaryridge.config._reload import reload_settings
 from rosemaryridge.config._service import AccountConfig
 from rosemaryridge.config._service import BusinessConfig
 from rosemaryridge.config._service import Priority
@@ -62,6 +64,7 @@
     "ProxySettings",
     "Publication",
     "Publisher",
+    "Reload",
     "RequestRule",
     "Revision",
     "RevisionConflict",
@@ -79,5 +82,6 @@
     "find_revision",
     "load_service",
     "load_settings",
+    "reload_settings",
     "to_plain",
 ]
--- a/src/rosemaryridge/proxy/_admin.py
+++ b/src/rosemaryridge/proxy/_admin.py
@@ -78,7 +78,7 @@
     pages.section("services")(proxy.config.status)
     pages.section("groups")(lambda: _groups(proxy))
     pages.section("peers")(lambda: _peers(proxy))
-    pages.section("sessions")(lambda: {"callers": proxy.server.callers})
+    pages.section("sessions")(lambda: _sessions(proxy))
     pages.section("pools")(lambda: _pools(proxy))
     pages.section("shares")(lambda: _shares(proxy))
 
@@ -168,6 +168,10 @@
     return {"live": lines, "stats": dataclasses.asdict(proxy.bus.stats)}
 
 
+def _sessions(proxy: "Proxy") -> dict[str, int]:
+    return {"callers": proxy.server.callers, "sessions_held": proxy.directory.held}
+
+
 def _pools(proxy: "Proxy") -> dict[str, dict[str, PoolLine]]:
     found: dict[str, dict[str, PoolLine]] = {}
     for (service, target), pool in sorted(proxy.pools.pools().items()):
--- a/src/rosemaryridge/proxy/_keyed.py
+++ b/src/rosemaryridge/proxy/_keyed.py
@@ -2,6 +2,7 @@
 
 import asyncpg
 
+from rosemaryridge import codes
 from rosemaryridge.model import Outcome
 from rosemaryridge.proxy._attempt import prepare
 from rosemaryridge.proxy._placing import Placement
@@ -60,6 +61,8 @@
             await self._run_recorded(placement)
         else:
             self._answer = self._keyed.check(record)
+            metrics = self._parts.metrics
+            metrics.refuse(codes.request.KEY_ALREADY_RUN, self._state.service)
         # Until COMMIT is sent nothing of it can last.
         self.request.on_event(Sent(placement.target, placement.primary))
         await connection.command("COMMIT")
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -8,6 +8,7 @@
 from rosemaryridge.config import ConfigService
 from rosemaryridge.config import ProxySettings
 from rosemaryridge.config import ServiceConfig
+from rosemaryridge.config import reload_settings
 from rosemaryridge.group import GroupService
 from rosemaryridge.membership import Membership
 from rosemaryridge.peer import GrpcPeerBus
@@ -27,6 +28,7 @@
 from rosemaryridge.telemetry import AdminServer
 from rosemaryridge.telemetry import Log
 from rosemaryridge.telemetry import Metrics
+from rosemaryridge.telemetry import change_logging
 from rosemaryridge.timer import LoopTimer
 from rosemaryridge.wire import CallerLimits
 from rosemaryridge.wire import CallerServer
@@ -179,6 +181,17 @@
         self.parts.adopt(service)
         log.info("A service is served.", service=service.name)
 
+    def reload(self, wanted: ProxySettings) -> None:
+        """Take over from changed settings what can change now."""
+        reload = reload_settings(self.cfg, wanted)
+        self.cfg = self.parts.cfg = reload.settings
+        self.server.set_limits(_limits(self.cfg))
+        change_logging(self.cfg.log)
+        applied, waiting = ", ".join(reload.applied), ", ".join(reload.waiting)
+        log.info("The settings are read again.", applied=applied)
+        if waiting:
+            log.warning("Changed settings wait for a restart.", settings=waiting)
+
     def begin_drain(self) -> None:
         """Ask the process to drain and end."""
         self.on_drain()
--- a/src/rosemaryridge/session/_directory.py
+++ b/src/rosemaryridge/session/_directory.py
@@ -81,6 +81,11 @@
         bus.on_message(SessionHandOver, self._take_over)
         members.on_change(self._members_changed)
 
+    @property
+    def held(self) -> int:
+        """Return how many sessions this proxy answers for."""
+        return len(self._table)
+
     async def start(self) -> None:
         """Begin to drop what every target covers."""
         self._sweeper = self._timer.every(_SWEEP_PERIOD_S, self._sweep)
--- a/src/rosemaryridge/wire/_caller_server.py
+++ b/src/rosemaryridge/wire/_caller_server.py
@@ -85,6 +85,10 @@
         """Return the port that is listened on."""
         return self._server.sockets[0].getsockname()[1]
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Bound new callers and logins by other limits."""
+        self._limits = limits
+
     def drain(self) -> None:
         """Take no new callers and close each one between two transactions."""
         self._draining = True
--- a/tests/integration/test_ctl.py
+++ b/tests/integration/test_ctl.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import sys
 import unittest
 
@@ -82,6 +83,22 @@
         conn = await self.until(lambda: self.fleet.connect("p2"), "p2 serves again")
         conn.terminate()
 
+    async def test_reads_settings_again(self):
+        path = self.fleet.directory / "p1.json"
+        settings = json.loads(path.read_text())
+        path.write_text(json.dumps({**settings, "drain": {"deadline_s": 7.0}}))
+        self.fleet.processes.signal("p1", signal.SIGHUP)
+        await self.until(
+            lambda: "drain.deadline_s" in self.fleet.tail("p1"), "the reload is logged"
+        )
+        path.write_text("{broken")
+        self.fleet.processes.signal("p1", signal.SIGHUP)
+        await self.until(
+            lambda: "not read again" in self.fleet.tail("p1"), "the fault is logged"
+        )
+        path.write_text(json.dumps(settings))
+        self.assertEqual((await self.ctl("p1", "status", "proxy"))[0], 0)
+
     async def test_says_who_did_not_answer(self):
         port = self.fleet.ports["p1"]
         self.fleet.ports["gone-admin"] = port
--- a/tests/integration/test_sessions.py
+++ b/tests/integration/test_sessions.py
@@ -1,7 +1,12 @@
 """Read own writes through any proxy while replicas lag, with real processes."""
 
+import dataclasses
+
+from rosemaryridge_testbed.fleet import FleetOptions
+from rosemaryridge_testbed.history import Promise
 from rosemaryridge_testbed.load import Caller
 from rosemaryridge_testbed.load import now
+from tests.integration.trial_case import LATENCIES
 from tests.integration.trial_case import TrialCase
 
 
@@ -38,3 +43,16 @@
         await self.fleet.cut_off("t1", cut=False)
         await self.trial.run_for(2.0)
         await self.judge()
+
+
+class TestPlantedFault(TrialCase):
+    apply_lag_ms = 300.0
+    options = FleetOptions(
+        latencies=dataclasses.replace(LATENCIES),
+        settings={"faults": {"enabled": True, "ignore_token": True}},
+    )
+
+    async def test_ignored_position_is_found(self):
+        await self.trial.run_for(4.0)
+        await self.trial.finish()
+        self.assertIn(Promise.OWN_WRITES, self.promises_broken())
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -7,6 +7,7 @@
 from rosemaryridge.config import encode_service
 from rosemaryridge.config import load_service
 from rosemaryridge.config import load_settings
+from rosemaryridge.config import reload_settings
 from rosemaryridge.exceptions import SettingsError
 
 SETTINGS = """{
@@ -102,6 +103,19 @@
             load_settings(self.path.with_name("missing"))
 
 
+class ReloadTest(FileTest):
+    def test_changes_what_can_change_and_names_what_waits(self):
+        current = load_settings(self.write(SETTINGS))
+        text = SETTINGS.replace("7000", "7001")[:-1]
+        text += 'drain: {deadline_s: 9}, log: {level: "debug"}, group: {jitter: 0.5}}'
+        reload = reload_settings(current, load_settings(self.write(text)))
+        self.assertEqual(reload.applied, ("drain.deadline_s", "log.level"))
+        self.assertEqual(reload.waiting, ("callers.listen", "group.jitter"))
+        self.assertEqual(reload.settings.drain.deadline_s, 9.0)
+        self.assertEqual(reload.settings.callers, current.callers)
+        self.assertEqual(reload.settings.group, current.group)
+
+
 class ServiceTest(FileTest):
     def test_reads_a_service(self):
         service = load_service(self.write(SERVICE))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -64,6 +64,13 @@
         for code in all_codes():
             self.assertIn(f'code="{code.name}"', counted)
 
+    def test_every_code_is_given_somewhere(self):
+        paths = [p for p in SOURCE.rglob("*.py") if p.parent.name != "codes"]
+        text = "\n".join(path.read_text() for path in paths)
+        for code in all_codes():
+            given = re.search(rf"\b{code.name.upper()}\b", text)
+            self.assertTrue(given, f"{code.name} is given nowhere")
+
 
 class DependenciesTest(unittest.TestCase):
     def test_every_library_has_a_row(self):
