Survive whatever a stored revision does to the checks

Random documents showed that a number too large for a float, a pattern with a repeat count that the regular expressions cannot hold, and deep nesting raised other errors than the checks expect; one such revision would have ended the reading of the object API on every proxy. They are faults like others now, and an unforeseen error rejects the revision. The cases are pinned as examples.

--- a/src/rosemaryridge/config/_catalog.py
+++ b/src/rosemaryridge/config/_catalog.py
@@ -144,7 +144,13 @@
 
 
 def _decode(offered: RevisionValue) -> ServiceConfig:
-    service = decode_service(offered.value, offered.revision)
+    try:
+        service = decode_service(offered.value, offered.revision)
+    except SettingsError:
+        raise
+    except Exception as exc:
+        # Whatever a stored value does to the checks, following must go on.
+        raise SettingsError((f"the checks failed: {type(exc).__name__}",)) from exc
     if service.name != offered.service:
         raise SettingsError((f"{offered.service} holds the service {service.name}",))
     return service
--- a/src/rosemaryridge/config/_check.py
+++ b/src/rosemaryridge/config/_check.py
@@ -108,7 +108,7 @@
         convert, allowed = CONVERTERS[kind]
         try:
             return convert(value)
-        except ValueError:
+        except (ValueError, OverflowError):
             return self.fault(path, show(value), allowed)
 
     def _build_bounded(self, kind: t.Any, value: t.Any, path: str) -> t.Any:
--- a/src/rosemaryridge/config/_follower.py
+++ b/src/rosemaryridge/config/_follower.py
@@ -70,6 +70,7 @@
         """Start to follow; return at once."""
         self._exchange.start()
         self._task = asyncio.get_running_loop().create_task(self._watch.run())
+        self._task.add_done_callback(_report)
 
     async def stop(self) -> None:
         """Stop following; what is in force stays."""
@@ -137,3 +138,9 @@
             callback(service)
         except Exception as exc:
             log.error("A part failed on a revision.", service=service.name, error=exc)
+
+
+def _report(task: asyncio.Task[None]) -> None:
+    exc = None if task.cancelled() else task.exception()
+    if exc is not None:
+        log.error("Reading the object API has ended.", error=exc)
--- a/src/rosemaryridge/config/_load.py
+++ b/src/rosemaryridge/config/_load.py
@@ -55,7 +55,7 @@
     name = f"revision {revision}"
     try:
         document = msgspec.json.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise SettingsError((Fault(name, "(document)", str(exc), "JSON"),)) from exc
     if isinstance(document, dict):
         document.pop(PUBLICATION_KEY, None)
@@ -81,7 +81,7 @@
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
         return json5.loads(text, allow_duplicate_keys=False)
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         fault = Fault(str(path), "(document)", str(exc), "JSON with comments")
         raise SettingsError((fault,)) from exc
 
--- a/src/rosemaryridge/config/_publication.py
+++ b/src/rosemaryridge/config/_publication.py
@@ -63,7 +63,7 @@
     try:
         publication = msgspec.json.decode(value, type=_Annotated).publication
         document = msgspec.json.decode(value, type=dict[str, t.Any])
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return Revision(revision, Publication(), {})
     document.pop(PUBLICATION_KEY, None)
     return Revision(revision, publication, document)
--- a/src/rosemaryridge/config/_rules.py
+++ b/src/rosemaryridge/config/_rules.py
@@ -67,7 +67,7 @@
     """Refuse a pattern that is no regular expression."""
     try:
         re.compile(request_rule.pattern)
-    except re.error as exc:
+    except (re.error, OverflowError, RecursionError) as exc:
         yield Problem("pattern", f"{exc}", "a regular expression")
 
 
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -1,6 +1,8 @@
+import json
 import random
 import unittest
 
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -23,9 +25,25 @@
 from rosemaryridge_testbed.virtual import WaitingStore
 from rosemaryridge_testbed.virtual import advance
 
+KEYS = ("name", "endpoint", "pattern", "user", "verifier", "priority", "max_age_s")
+SCALARS = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.floats(),
+    st.text(max_size=12),
+    st.sampled_from(("(", "a{9}", "10.0.0.1:1", ":", "critical", "[::1]:1")),
+)
 BROKEN = b'{"name": "broken"}'
 
 
+def nested(inner):
+    return st.one_of(
+        st.lists(inner, max_size=3),
+        st.dictionaries(st.sampled_from(KEYS), inner, max_size=4),
+    )
+
+
 def value(name, database="db"):
     target = TargetConfig("a", Endpoint("10.0.0.1", 5432), "suva")
     return encode_service(ServiceConfig(name, 0, database, (target,)))
@@ -79,6 +97,29 @@
         catalog.offer(offer(1, 6))
         self.assertIsNone(catalog.rejection("service1"))
 
+    @settings(max_examples=300, deadline=None)
+    @example({"rules": [{"name": "a", "pattern": "a{99999999999}"}]})
+    @example({"default_deadline_s": 10**400})
+    @example({"targets": [{"endpoint": "10.0.0.1:" + "9" * 5000}]})
+    @given(
+        st.fixed_dictionaries(
+            {},
+            optional={
+                name: st.recursive(SCALARS, nested, max_leaves=8)
+                for name in ("targets", "rules", "accounts", "default_deadline_s")
+            },
+        )
+    )
+    def test_survives_whatever_is_stored(self, changes):
+        document = {**json.loads(value("service1")), **changes}
+        offered = RevisionValue("service1", 1, json.dumps(document).encode())
+        self.assertIn(Catalog().offer(offered), (Verdict.ADOPTED, Verdict.REJECTED))
+
+    def test_survives_deep_nesting(self):
+        deep = b'{"a":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        verdict = Catalog().offer(RevisionValue("service1", 1, deep))
+        self.assertIs(verdict, Verdict.REJECTED)
+
     def test_refuses_a_value_of_another_service(self):
         other = RevisionValue("service1", 3, value("service2"))
         self.assertIs(Catalog().offer(other), Verdict.REJECTED)
