--- a/src/rosemaryridge/proxy/_admin.py
+++ b/src/rosemaryridge/proxy/_admin.py
@@ -9,7 +9,10 @@
 from rosemaryridge.group import GroupView
 from rosemaryridge.proxy._explain import explain
 from rosemaryridge.proxy._relay import register_relay
+from rosemaryridge.telemetry import CALLERS
+from rosemaryridge.telemetry import CONNECTED_PEERS
 from rosemaryridge.telemetry import GROUP_TERM
+from rosemaryridge.telemetry import LIVE_PROXIES
 from rosemaryridge.telemetry import POOL_CONNECTIONS
 from rosemaryridge.telemetry import TARGET_LAG
 from rosemaryridge.telemetry import Pages
@@ -195,6 +198,9 @@
 
 def _set_gauges(proxy: "Proxy") -> None:
     metrics = proxy.metrics
+    metrics.set(CALLERS, proxy.server.callers)
+    metrics.set(LIVE_PROXIES, len(proxy.membership.live()))
+    metrics.set(CONNECTED_PEERS, len(proxy.bus.peers()))
     for service, group in _groups(proxy).items():
         metrics.set(GROUP_TERM, group.term, service)
         for name, line in group.targets.items():
--- a/src/rosemaryridge/telemetry/__init__.py
+++ b/src/rosemaryridge/telemetry/__init__.py
@@ -9,7 +9,10 @@
 from rosemaryridge.telemetry._pages import Pages
 from rosemaryridge.telemetry._redact import redact_error
 from rosemaryridge.telemetry._redact import redact_statement
+from rosemaryridge.telemetry._specs import CALLERS
+from rosemaryridge.telemetry._specs import CONNECTED_PEERS
 from rosemaryridge.telemetry._specs import GROUP_TERM
+from rosemaryridge.telemetry._specs import LIVE_PROXIES
 from rosemaryridge.telemetry._specs import POOL_CONNECTIONS
 from rosemaryridge.telemetry._specs import REFUSALS
 from rosemaryridge.telemetry._specs import RETRIES
@@ -28,7 +31,10 @@
 from rosemaryridge.telemetry._specs import histogram
 
 __all__ = [
+    "CALLERS",
+    "CONNECTED_PEERS",
     "GROUP_TERM",
+    "LIVE_PROXIES",
     "POOL_CONNECTIONS",
     "REFUSALS",
     "RETRIES",
--- a/src/rosemaryridge/telemetry/_specs.py
+++ b/src/rosemaryridge/telemetry/_specs.py
@@ -129,3 +129,6 @@
 LOG_SUPPRESSED = counter(
     "log_suppressed_total", "Count log lines left out as repeated.", "part"
 )
+CALLERS = gauge("callers", "Callers that are logged in.")
+LIVE_PROXIES = gauge("live_proxies", "Live proxies, as this one sees them.")
+CONNECTED_PEERS = gauge("connected_peers", "Proxies with a stream to this one.")
--- a/tests/integration/test_telemetry.py
+++ b/tests/integration/test_telemetry.py
@@ -82,6 +82,7 @@
         self.assertIn('statements_total{class="write",outcome="done"', page)
         for gauge in ("group_term", "target_lag_seconds", "pool_connections"):
             self.assertIn(f"rosemaryridge_{gauge}{{", page)
+        self.assertIn("rosemaryridge_live_proxies 1", page)
 
 
 if __name__ == "__main__":
