--- a/src/rosemaryridge_testbed/experiments/__init__.py
+++ b/src/rosemaryridge_testbed/experiments/__init__.py
@@ -1,9 +1,12 @@
 """Measure decisions in time that is moved by hand."""
 
+from rosemaryridge_testbed.experiments import _callers as _callers
 from rosemaryridge_testbed.experiments import _isolation as _isolation
 from rosemaryridge_testbed.experiments import _overload as _overload
+from rosemaryridge_testbed.experiments import _read_share as _read_share
 from rosemaryridge_testbed.experiments import _routing as _routing
 from rosemaryridge_testbed.experiments import _slopes as _slopes
+from rosemaryridge_testbed.experiments import _throughput as _throughput
 from rosemaryridge_testbed.experiments._cluster import Cluster
 from rosemaryridge_testbed.experiments._network import Latency
 from rosemaryridge_testbed.experiments._network import Network
--- /dev/null
+++ b/src/rosemaryridge_testbed/report/_table.py
@@ -0,0 +1,18 @@
+"""Lay rows out as text."""
+
+import typing as t
+
+from rosemaryridge_testbed.report._results import Row
+
+
+def table(rows: t.Sequence[Row]) -> str:
+    """Return rows of the same columns as aligned lines."""
+    if not rows:
+        return "(no rows)"
+    names = list(rows[0])
+    lines = [names, *([str(row[name]) for name in names] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return "\n".join(
+        "  ".join(cell.rjust(width) for cell, width in zip(line, widths, strict=True))
+        for line in lines
+    )
