Look for a replica once where one fits

Cause: each read searched the replicas twice, since the wait for one that is about to catch up asked first. Change: the wait begins only where the choice fell on the primary. Conclusion: kept for the work it saves.

--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -53,9 +53,10 @@
         view = parts.group.view(state.service)
         need = await self._need(view, write, terms, exclude)
         service = parts.policy(state.service).service
-        if not need.write:
-            await self._await_replica(service, view, need, terms)
         target = parts.router.choose(service, view, need, parts.timer.now())
+        if not need.write and target == view.primary:
+            await self._await_replica(service, view, need, terms)
+            target = parts.router.choose(service, view, need, parts.timer.now())
         term, primary = view.term, target == view.primary
         begin = parts.timer.now()
         lease = await self._acquire(target, terms)
