--- a/src/rosemaryridge/pool/_allocation.py
+++ b/src/rosemaryridge/pool/_allocation.py
@@ -7,7 +7,7 @@
 # Requests hold a slot for their time on the network as well.
 _GREEDY_MARGIN = 1.3
 _CONTENDED_SHARE = 0.35
-_LEAST_SHARE = 0.1
+_LEAST_SHARE = 0.05
 _LEAST_RATE = 0.02
 
 
--- a/src/rosemaryridge_testbed/experiments/__init__.py
+++ b/src/rosemaryridge_testbed/experiments/__init__.py
@@ -6,6 +6,7 @@
 from rosemaryridge_testbed.experiments import _read_share as _read_share
 from rosemaryridge_testbed.experiments import _routing as _routing
 from rosemaryridge_testbed.experiments import _slopes as _slopes
+from rosemaryridge_testbed.experiments import _spread as _spread
 from rosemaryridge_testbed.experiments import _throughput as _throughput
 from rosemaryridge_testbed.experiments._cluster import Cluster
 from rosemaryridge_testbed.experiments._network import Latency
