--- a/src/rosemaryridge_testbed/target/_sql.py
+++ b/src/rosemaryridge_testbed/target/_sql.py
@@ -1,4 +1,4 @@
-"""Turn PostgreSQL's SQL into sqlite's and infer the types on the wire."""
+"""Turn PostgreSQL's SQL into sqlite's."""
 
 import dataclasses
 import enum
@@ -9,10 +9,10 @@
 from pg_mimic import ResultColumn
 from pg_mimic import types as oids
 from sqlglot import exp
-from sqlglot.optimizer.annotate_types import annotate_types
-from sqlglot.optimizer.qualify import qualify
 
-Schema = dict[str, dict[str, str]]
+from rosemaryridge_testbed.target._types import Schema
+from rosemaryridge_testbed.target._types import columns_of
+from rosemaryridge_testbed.target._types import param_oids
 
 # sqlglot takes `$1,$` for the start of a quoted text, so parameters are renamed.
 _PARAM = re.compile(r"('(?:[^']|'')*'|\"[^\"]*\"|--[^\n]*|/\*.*?\*/)|\$(\d+)", re.S)
@@ -22,25 +22,6 @@
     r"\s*SELECT\s+.*\bFROM\s+rosemaryridge\.(\w+)\s*\((.*?)\)", re.I | re.S
 )
 
-_OIDS = {
-    exp.DataType.Type.BOOLEAN: oids.BOOL,
-    exp.DataType.Type.BIGINT: oids.INT8,
-    exp.DataType.Type.BIGSERIAL: oids.INT8,
-    exp.DataType.Type.INT: oids.INT4,
-    exp.DataType.Type.SERIAL: oids.INT4,
-    exp.DataType.Type.SMALLINT: oids.INT2,
-    exp.DataType.Type.FLOAT: oids.FLOAT4,
-    exp.DataType.Type.DOUBLE: oids.FLOAT8,
-    exp.DataType.Type.DECIMAL: oids.NUMERIC,
-    exp.DataType.Type.TIMESTAMP: oids.TIMESTAMP,
-    exp.DataType.Type.TIMESTAMPTZ: oids.TIMESTAMPTZ,
-    exp.DataType.Type.DATE: oids.DATE,
-    exp.DataType.Type.VARBINARY: oids.BYTEA,
-    exp.DataType.Type.UUID: oids.UUID,
-    exp.DataType.Type.JSON: oids.JSON,
-    exp.DataType.Type.JSONB: oids.JSONB,
-    exp.DataType.Type.VARCHAR: oids.VARCHAR,
-}
 
 # sqlite reads any other type name as numeric and cuts a text to its first number.
 _KEPT_CASTS = (
@@ -142,8 +123,8 @@
         raise PgError("42601", f"syntax error: {str(exc).splitlines()[0]}") from exc
     query = tree.find(exp.Query) if isinstance(tree, exp.Query) else None
     writing = query is None or _contains_write(tree)
-    columns = _columns(tree, schema)
-    params = _param_oids(tree, schema)
+    columns = columns_of(tree, schema)
+    params = param_oids(tree, schema)
     sleeps = "pg_sleep" in sql.lower()
     keyword = re.match(r"\w+", renamed)
     tag = _tag(tree, keyword[0].upper() if keyword else "")
@@ -164,124 +145,6 @@
     return "SELECT" if keyword == "WITH" else keyword
 
 
-def oid_of(kind: exp.DataType | None) -> int:
-    """Return the type's number on the wire; text for what is not known."""
-    if kind is None:
-        return oids.TEXT
-    if kind.this == exp.DataType.Type.ARRAY:
-        return oids.TEXT
-    return _OIDS.get(kind.this, oids.TEXT)
-
-
-def _column_oid(schema: Schema, table: str, column: str) -> int:
-    kind = schema.get(table.lower(), {}).get(column.lower())
-    return oid_of(exp.DataType.build(kind, dialect="postgres")) if kind else oids.TEXT
-
-
-def _columns(tree: exp.Expression, schema: Schema) -> tuple[ResultColumn, ...] | None:
-    if isinstance(tree, exp.Query):
-        return _query_columns(tree, schema)
-    returning = tree.args.get("returning")
-    if returning is None:
-        return None
-    table = tree.find(exp.Table).name
-    columns: list[ResultColumn] = []
-    for item in returning.expressions:
-        if isinstance(item, exp.Star):
-            names = schema.get(table.lower(), {})
-        else:
-            names = {item.alias_or_name or "?column?": ""}
-        for name in names:
-            column = item.this.name if isinstance(item, exp.Alias) else name
-            columns.append(ResultColumn(name, _column_oid(schema, table, column)))
-    return tuple(columns)
-
-
-def _query_columns(tree: exp.Query, schema: Schema) -> tuple[ResultColumn, ...]:
-    typed = _named(tree)
-    try:
-        typed = qualify(
-            typed,
-            schema=schema,
-            dialect="postgres",
-            validate_qualify_columns=False,
-            quote_identifiers=False,
-        )
-        typed = annotate_types(typed, schema=schema, dialect="postgres")
-    except sqlglot.errors.SqlglotError:
-        typed = tree
-    series = tree.find(exp.ExplodingGenerateSeries) is not None
-    columns = []
-    for select in typed.selects:
-        unknown = select.type is None or select.type.this == exp.DataType.Type.UNKNOWN
-        oid = oids.INT4 if series and unknown else oid_of(select.type)
-        columns.append(ResultColumn(select.alias_or_name, oid))
-    return tuple(columns)
-
-
-def _named(tree: exp.Query) -> exp.Query:
-    copy = tree.copy()
-    for select in copy.selects:
-        if not select.is_star and not isinstance(select, exp.Column | exp.Alias):
-            select.replace(
-                exp.alias_(select.copy(), _function_name(select), quoted=True)
-            )
-    return copy
-
-
-def _function_name(select: exp.Expression) -> str:
-    if isinstance(select, exp.Anonymous):
-        return select.name.lower()
-    return select.sql_name().lower() if isinstance(select, exp.Func) else "?column?"
-
-
-def _param_oids(tree: exp.Expression, schema: Schema) -> tuple[int, ...]:
-    found: dict[int, int] = {}
-    for node in tree.find_all(exp.Placeholder):
-        index = int(str(node.this)[1:])
-        oid = _param_oid(node, tree, schema)
-        if found.get(index, oids.TEXT) == oids.TEXT:
-            found[index] = oid
-    return tuple(found.get(i, oids.TEXT) for i in range(1, max(found, default=0) + 1))
-
-
-def _param_oid(node: exp.Placeholder, tree: exp.Expression, schema: Schema) -> int:
-    parent = node.parent
-    if isinstance(parent, exp.Cast):
-        return oid_of(parent.to)
-    if isinstance(parent, exp.ExplodingGenerateSeries):
-        return oids.INT4
-    if isinstance(parent, exp.Limit | exp.Offset):
-        return oids.INT8
-    if isinstance(parent, exp.Anonymous) and parent.name.lower() == "pg_sleep":
-        return oids.FLOAT8
-    insert = node.find_ancestor(exp.Insert)
-    if isinstance(parent, exp.Tuple) and insert is not None:
-        return _inserted_oid(parent.expressions.index(node), insert, schema)
-    tables = [table.name for table in tree.find_all(exp.Table)]
-    siblings = parent.find_all(exp.Column) if parent is not None else ()
-    for column in siblings:
-        for table in tables:
-            if column.name.lower() in schema.get(table.lower(), {}):
-                return _column_oid(schema, table, column.name)
-    numeric = parent is not None and isinstance(parent, exp.Binary)
-    if numeric and any(not lit.is_string for lit in parent.find_all(exp.Literal)):
-        return oids.INT8
-    if isinstance(parent, exp.LT | exp.LTE | exp.GT | exp.GTE):
-        return oids.INT8
-    return oids.TEXT
-
-
-def _inserted_oid(index: int, insert: exp.Insert, schema: Schema) -> int:
-    target = insert.this
-    table = target.find(exp.Table).name
-    if isinstance(target, exp.Schema):
-        names = [column.name for column in target.expressions]
-    else:
-        names = list(schema.get(table.lower(), {}))
-    return _column_oid(schema, table, names[index]) if index < len(names) else oids.TEXT
-
-
 def _rewrite(tree: exp.Expression) -> exp.Expression:
     for query in tree.find_all(exp.Select):
         query.set("locks", None)
