Let a control connection take longer to open than one verb

Cause: opening takes several round trips. With 100 ms of jitter they outlast the 0.3 s of a status request, which gave the attempt up each time, so a proxy that had lost a connection never got a new one. Change: one attempt per target goes on in the background, for four times the verb's time, and the next verb joins it. Conclusion: a lost connection no longer looks like a silent target for good.

--- a/src/rosemaryridge/wire/_target_port.py
+++ b/src/rosemaryridge/wire/_target_port.py
@@ -22,6 +22,7 @@
 _FOLLOW = "SELECT * FROM rosemaryridge.follow($1::bigint, $2::text)"
 _FENCED_AT_HIGHER_TERM = "RR001"
 _STATEMENT_CACHE_SIZE = 8
+_CONNECT_TIMEOUTS = 4
 # A target keeps room for control connections beyond its limit.
 _CONTROL_NAME = "rosemaryridge-control"
 
@@ -33,6 +34,7 @@
         self._login = login
         self._keep_alive = keep_alive or KeepAlive()
         self._conns: dict[Endpoint, asyncpg.Connection] = {}
+        self._opening: dict[Endpoint, asyncio.Task] = {}
         self._locks: dict[Endpoint, asyncio.Lock] = {}
 
     async def status(self, target: TargetConfig, timeout_s: float) -> TargetStatus:
@@ -59,6 +61,8 @@
 
     def close(self) -> None:
         """Close every control connection at once."""
+        for task in list(self._opening.values()):
+            task.cancel()
         for conn in self._conns.values():
             conn.terminate()
         self._conns.clear()
@@ -84,7 +88,7 @@
     ) -> asyncpg.Record:
         conn = self._conns.get(endpoint)
         if conn is None or conn.is_closed():
-            conn = await self._connect(endpoint, timeout_s)
+            conn = await asyncio.shield(self._open(endpoint, timeout_s))
         try:
             return await conn.fetchrow(statement, *args)
         except (asyncio.CancelledError, OSError, asyncpg.InterfaceError):
@@ -92,6 +96,25 @@
             self._drop(endpoint)
             raise
 
+    def _open(self, endpoint: Endpoint, timeout_s: float) -> asyncio.Task:
+        """Return the one attempt to connect that is under way.
+
+        Connecting takes several round trips, so it may outlast the verb it is for.
+        """
+        task = self._opening.get(endpoint)
+        if task is None:
+            attempt = self._connect(endpoint, timeout_s * _CONNECT_TIMEOUTS)
+            task = asyncio.get_running_loop().create_task(attempt)
+            self._opening[endpoint] = task
+            task.add_done_callback(lambda one: self._opened(endpoint, one))
+        return task
+
+    def _opened(self, endpoint: Endpoint, task: asyncio.Task) -> None:
+        del self._opening[endpoint]
+        if not task.cancelled():
+            # Without this a failure that nobody waits for is reported as a bug.
+            task.exception()
+
     async def _connect(self, endpoint: Endpoint, timeout_s: float) -> t.Any:
         conn = await asyncpg.connect(
             host=endpoint.host,
