Keep targets of the same name apart by service

Cause: load, health and leaving flags were kept by a target's name alone, so a slow or leaving target t1 of one service kept reads and writes from another service's t1. Change: the router and the leaving flags go by service and target. A test takes one service's targets out and sees the other's served. Ruled out: refusing equal names when publishing, which would bind services that have nothing to do with each other. Before and after: the new test failed, now passes; routing, group, membership, data path and ctl tests pass. Conclusion: names need to be unique within a service only.

--- a/src/rosemaryridge/group/_service.py
+++ b/src/rosemaryridge/group/_service.py
@@ -24,6 +24,7 @@
 from rosemaryridge.group._view import GroupView
 from rosemaryridge.model import Position
 from rosemaryridge.model import TargetStatus
+from rosemaryridge.model import target_key
 from rosemaryridge.peer import PeerBus
 from rosemaryridge.platform import ObjectStore
 from rosemaryridge.telemetry import GROUP_TERM
@@ -46,7 +47,8 @@
     """Know who leads each group, acknowledge what a majority holds, fail over.
 
     `watchers` ranks the VMs that watch a service's group; without it this proxy
-    watches every group alone. `on_leaving` is told what each target's status says.
+    watches every group alone. `on_leaving` is told by each target's key
+    what its status says.
     """
 
     def __init__(
@@ -130,7 +132,9 @@
         self._groups[name] = group
         self._drivers[name] = driver
         group.on_primary.append(lambda: self._primary_changed(name))
-        group.on_status.append(self._status_seen)
+        group.on_status.append(
+            lambda target, status, _at: self._status_seen(name, target, status)
+        )
         driver.on_led.append(lambda term, primary: self._led(name, term, primary))
         driver.rank(self._watchers(service))
         group.poll()
@@ -264,6 +268,6 @@
         for callback in self._on_primary:
             callback(service, view.term, view.primary)
 
-    def _status_seen(self, target: str, status: TargetStatus, _sent_at: float) -> None:
+    def _status_seen(self, service: str, target: str, status: TargetStatus) -> None:
         if self._on_leaving is not None:
-            self._on_leaving(target, status.leaving)
+            self._on_leaving(target_key(service, target), status.leaving)
--- a/src/rosemaryridge/membership/_service.py
+++ b/src/rosemaryridge/membership/_service.py
@@ -74,11 +74,11 @@
         return self._placement.holders(key, n)
 
     def target_leaving(self, target: str) -> bool:
-        """Return whether a target must get no new work."""
+        """Return whether a target, by its key, must get no new work."""
         return target in self.leaving
 
     def observe_target(self, target: str, leaving: bool) -> None:
-        """Take in what a target's status says and spread what is new."""
+        """Take in what a target's status says, by its key; spread what is new."""
         flag = self.leaving.observe(target, leaving)
         if flag is not None:
             self._bus.broadcast(MembershipDelta(targets=(flag,)))
--- a/src/rosemaryridge/model.py
+++ b/src/rosemaryridge/model.py
@@ -58,6 +58,11 @@
         return cls(host, int(port))
 
 
+def target_key(service: str, target: str) -> str:
+    """Return a name that is a target's own among all services."""
+    return f"{service}/{target}"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetStatus:
     """Report one target's replication state, as it answered.
--- a/src/rosemaryridge/proxy/_admin.py
+++ b/src/rosemaryridge/proxy/_admin.py
@@ -7,6 +7,7 @@
 from rosemaryridge.config import ProxySettings
 from rosemaryridge.exceptions import Refusal
 from rosemaryridge.group import GroupView
+from rosemaryridge.model import target_key
 from rosemaryridge.proxy._explain import explain
 from rosemaryridge.proxy._relay import register_relay
 from rosemaryridge.telemetry import CALLERS
@@ -153,7 +154,8 @@
         str(status.applied),
         round(lag_s, 3) if lag_s < float("inf") else None,
         round(now - seen.seen_at, 3),
-        status.leaving or proxy.membership.target_leaving(name),
+        status.leaving
+        or proxy.membership.target_leaving(target_key(view.service, name)),
     )
 
 
--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -69,7 +69,7 @@
             lease.discard()
             raise
         lease.connection.notice_handler = self.on_notice
-        parts.router.started(target)
+        parts.router.started(state.service, target)
         log.note("A target is chosen.", target=target, term=term, primary=primary)
         return Placement(target, term, primary, parts.timer.now(), lease)
 
@@ -92,7 +92,7 @@
             )
         except Refusal as exc:
             if exc.code is codes.limits.NO_TARGET:
-                parts.router.failed(target)
+                parts.router.failed(state.service, target)
             raise
 
     async def _need(self, view, write: bool, terms: Terms, exclude) -> Need:
@@ -222,7 +222,7 @@
         self._observe("target", placement.started_at)
         log.note("The target is done.", target=placement.target, ok=ok)
         latency_s = parts.timer.now() - placement.started_at
-        parts.router.finished(placement.target, latency_s, ok)
+        parts.router.finished(self._state.service, placement.target, latency_s, ok)
         connection = placement.connection
         connection.notice_handler = None
         if reusable or parts.faults.reuse_abandoned:
--- a/src/rosemaryridge/routing/_router.py
+++ b/src/rosemaryridge/routing/_router.py
@@ -12,12 +12,12 @@
 from rosemaryridge.model import ORIGIN
 from rosemaryridge.model import Position
 from rosemaryridge.model import Role
+from rosemaryridge.model import target_key
 from rosemaryridge.routing._freshness import PrimaryHistory
 from rosemaryridge.routing._health import TargetHealth
 from rosemaryridge.routing._policies import find_policy
 from rosemaryridge.routing._view import GroupView
 from rosemaryridge.routing._view import Need
-from rosemaryridge.routing._view import ObservedStatus
 from rosemaryridge.telemetry import Metrics
 from rosemaryridge.timer import TimerService
 
@@ -33,7 +33,7 @@
 class Router:
     """Choose targets: replicas that are fresh enough, then the primary.
 
-    `leaving` says whether a target must get no new work.
+    `leaving` says of a target's key whether it must get no new work.
     """
 
     def __init__(
@@ -62,13 +62,17 @@
         if need.write:
             return self._primary(service, view, need)
         replicas = self._replicas(service, view, need, now)
-        usable = [one for one in replicas if not self._is_open(one, now)]
+        usable = [
+            one
+            for one in replicas
+            if not self.health(service.name, one.name).is_open(now)
+        ]
         if len(usable) >= len(replicas) * (1.0 - _MAX_EJECTED_SHARE) and usable:
-            return self._pick(usable, now)
+            return self._pick(service.name, usable, now)
         if self._may_serve_reads(service, view, need, now):
             return t.cast(str, view.primary)
         if replicas:
-            return self._pick(replicas, now)
+            return self._pick(service.name, replicas, now)
         raise self._refusal(codes.limits.NO_TARGET, service)
 
     def replica_expected(
@@ -95,24 +99,25 @@
         )
         return any(lag_s <= wait_s for lag_s in lags)
 
-    def started(self, target: str) -> None:
+    def started(self, service: str, target: str) -> None:
         """Count a request sent to a target."""
-        self.health(target).started(self._timer.now())
+        self.health(service, target).started(self._timer.now())
 
-    def finished(self, target: str, latency_s: float, ok: bool) -> None:
+    def finished(self, service: str, target: str, latency_s: float, ok: bool) -> None:
         """Take in how long a request took and whether the target answered it."""
-        self.health(target).finished(latency_s, ok, self._timer.now())
+        self.health(service, target).finished(latency_s, ok, self._timer.now())
 
-    def failed(self, target: str) -> None:
+    def failed(self, service: str, target: str) -> None:
         """Take in that a target could not be reached."""
-        self.started(target)
-        self.finished(target, 0.0, ok=False)
+        self.started(service, target)
+        self.finished(service, target, 0.0, ok=False)
 
-    def health(self, target: str) -> TargetHealth:
+    def health(self, service: str, target: str) -> TargetHealth:
         """Return the evidence about a target."""
-        found = self._health.get(target)
+        key = target_key(service, target)
+        found = self._health.get(key)
         if found is None:
-            found = self._health[target] = TargetHealth(self._rng)
+            found = self._health[key] = TargetHealth(self._rng)
         return found
 
     def age_s(self, service: str, applied: Position, now: float) -> float:
@@ -141,23 +146,25 @@
         found = []
         for target in service.targets:
             name = target.name
-            seen = view.statuses.get(name)
-            if seen is None or name == view.primary or name in need.exclude:
+            if name not in view.statuses or name == view.primary:
                 continue
-            if self._is_fresh(service.name, view, need, seen, now):
+            if name in need.exclude:
+                continue
+            if self._is_fresh(service.name, name, view, need, now):
                 found.append(target)
         return found
 
     def _is_fresh(
         self,
         service: str,
+        name: str,
         view: GroupView,
         need: Need,
-        seen: ObservedStatus,
         now: float,
     ) -> bool:
+        seen = view.statuses[name]
         status = seen.status
-        if status.leaving or self._leaving(status.target):
+        if status.leaving or self._leaving(target_key(service, name)):
             return False
         if status.role is not Role.REPLICA or status.term != view.term:
             return False
@@ -167,23 +174,20 @@
             return True
         return self.age_s(service, status.applied, now) <= need.max_age_s
 
-    def _is_open(self, target: TargetConfig, now: float) -> bool:
-        return self.health(target.name).is_open(now)
-
-    def _pick(self, targets: list[TargetConfig], now: float) -> str:
+    def _pick(self, service: str, targets: list[TargetConfig], now: float) -> str:
         if len(targets) == 1:
             return targets[0].name
         drawn = self._rng.random()
         if drawn < _EXPLORED_SHARE:
             return self._rng.choice(targets).name
-        due = [one for one in targets if self.health(one.name).is_due(now)]
+        due = [one for one in targets if self.health(service, one.name).is_due(now)]
         if due and drawn < _TESTED_SHARE:
             return due[0].name
-        pairs = [(one.name, self._local_health(one)) for one in targets]
+        pairs = [(one.name, self._local_health(service, one)) for one in targets]
         return self._policy(pairs, self._rng, now)
 
-    def _local_health(self, target: TargetConfig) -> TargetHealth:
-        health = self.health(target.name)
+    def _local_health(self, service: str, target: TargetConfig) -> TargetHealth:
+        health = self.health(service, target.name)
         if health.samples == 0 and target.failure_domain != self._failure_domain:
             health.latency_s = max(health.latency_s, _FIRST_REMOTE_LATENCY_S)
         return health
@@ -192,9 +196,12 @@
         self, service: ServiceConfig, view: GroupView, need: Need, now: float
     ) -> bool:
         name = view.primary
-        if name is None or name in need.exclude or self.health(name).is_open(now):
+        if name is None or name in need.exclude:
+            return False
+        if self.health(service.name, name).is_open(now):
             return False
-        return not self._leaving(name) or len(service.targets) == 1
+        leaving = self._leaving(target_key(service.name, name))
+        return not leaving or len(service.targets) == 1
 
     def _refusal(self, code: Code, service: ServiceConfig) -> Refusal:
         self._metrics.refuse(code, service.name)
--- a/src/rosemaryridge_testbed/experiments/_routing.py
+++ b/src/rosemaryridge_testbed/experiments/_routing.py
@@ -88,12 +88,12 @@
     def _fire(self) -> None:
         router, sent_at = self.rng.choice(self.routers), self.timer.now()
         name = router.choose(self.service, _view(sent_at), Need(), sent_at)
-        router.started(name)
+        router.started(self.service.name, name)
         self.sent[-1][name] += 1
 
         def done(ok: bool) -> None:
             latency_s = self.timer.now() - sent_at
-            router.finished(name, latency_s, ok)
+            router.finished(self.service.name, name, latency_s, ok)
             self.failed += not ok
             self.latencies_s.append(latency_s)
 
--- a/src/rosemaryridge_testbed/experiments/_slopes_data.py
+++ b/src/rosemaryridge_testbed/experiments/_slopes_data.py
@@ -136,8 +136,8 @@
     def act() -> None:
         for _ in range(_CHOICES):
             name = router.choose(service, view, need, 0.1)
-            router.started(name)
-            router.finished(name, 0.005, ok=True)
+            router.started(service.name, name)
+            router.finished(service.name, name, 0.005, ok=True)
 
     return cpu_s(act) / _CHOICES
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -98,31 +98,37 @@
         seen = view()
         seen.statuses["r1"] = Seen(status("r1", 100, leaving=True), 0.0)
         self.assertEqual(self.chosen(seen, Need()), {"r2"})
-        self.left.add("r2")
+        self.left.add("vialbook/r2")
         self.assertEqual(self.chosen(seen, Need()), {"p"})
 
+    def test_targets_of_the_same_name_are_kept_apart_by_service(self):
+        self.left.add("other/r2")
+        for _ in range(5):
+            self.router.finished("other", "r1", 0.01, ok=False)
+        self.assertEqual(self.chosen(view(), Need()), {"r1", "r2"})
+
     def test_failing_target_is_avoided_then_tested_by_one_request(self):
         for _ in range(5):
-            self.router.started("r1")
-            self.router.finished("r1", 0.01, ok=False)
+            self.router.started(SERVICE.name, "r1")
+            self.router.finished(SERVICE.name, "r1", 0.01, ok=False)
         self.assertEqual(self.chosen(view(), Need()), {"r2"})
         self.timer.advance(1.0)
         self.assertIn("r1", self.chosen(view(), Need(), 1.0))
-        self.router.started("r1")
+        self.router.started(SERVICE.name, "r1")
         self.assertEqual(self.chosen(view(), Need(), 1.0), {"r2"})
-        self.router.finished("r1", 0.01, ok=True)
+        self.router.finished(SERVICE.name, "r1", 0.01, ok=True)
         self.assertIn("r1", self.chosen(view(), Need(), 1.0))
 
     def test_target_that_only_fails_attracts_nothing(self):
         for _ in range(3):
-            self.router.finished("r1", 0.0, ok=False)
+            self.router.finished(SERVICE.name, "r1", 0.0, ok=False)
         chosen = [self.router.choose(SERVICE, view(), Need(), 0.1) for _ in range(100)]
         self.assertLess(chosen.count("r1"), 10)
 
     def test_unreachable_target_is_avoided(self):
         for _ in range(5):
-            self.router.failed("r1")
-        self.assertEqual(self.router.health("r1").outstanding, 0)
+            self.router.failed(SERVICE.name, "r1")
+        self.assertEqual(self.router.health(SERVICE.name, "r1").outstanding, 0)
         self.assertEqual(self.chosen(view(), Need()), {"r2"})
 
     def test_excluded_targets_are_not_tried_again(self):
@@ -135,8 +141,8 @@
         for name in ("power_of_two", "weighted_random"):
             router = Router(self.timer, random.Random(1), Metrics(), policy=name)
             for target, latency_s in (("r1", 0.5), ("r2", 0.005)) * 40:
-                router.started(target)
-                router.finished(target, latency_s, ok=True)
+                router.started(SERVICE.name, target)
+                router.finished(SERVICE.name, target, latency_s, ok=True)
             chosen = [router.choose(SERVICE, view(), Need(), 0.1) for _ in range(200)]
             self.assertLess(chosen.count("r1"), 20, name)
 
