Tell a caller that asks for its token when to come back

Change: such a question is refused as not run, with the time to come back. Conclusion: unknown is said of writes only.

--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -204,9 +204,13 @@
         if view.primary is None:
             raise Refusal(codes.group.NO_PRIMARY, retry_after_s=_RETRY_AFTER_S)
         # Whatever a replica has applied, the primary has as well.
-        position = await parts.group.acknowledge(
-            state.service, view.primary, view.term, terms.deadline
-        )
+        try:
+            position = await parts.group.acknowledge(
+                state.service, view.primary, view.term, terms.deadline
+            )
+        except Refusal as exc:
+            # Nothing was sent, so that the codes of writes would say too much.
+            raise Refusal(codes.group.NO_PRIMARY, retry_after_s=_RETRY_AFTER_S) from exc
         state.mark = None
         state.session.observe(position)
 
