Take settings from the one place that defines them

Before and after: tests of pool, membership, configuration and docs pass. Conclusion: a newcomer finds every setting in config.

--- a/src/rosemaryridge/membership/__init__.py
+++ b/src/rosemaryridge/membership/__init__.py
@@ -1,7 +1,7 @@
 """Know which proxies are live and place work on them."""
 
+from rosemaryridge.config import MembershipSettings
 from rosemaryridge.membership._member import Member
 from rosemaryridge.membership._service import Membership
-from rosemaryridge.membership._settings import MembershipSettings
 
 __all__ = ["Member", "Membership", "MembershipSettings"]
--- a/src/rosemaryridge/membership/_service.py
+++ b/src/rosemaryridge/membership/_service.py
@@ -3,6 +3,7 @@
 import random
 import typing as t
 
+from rosemaryridge.config import MembershipSettings
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.membership._bus import MemberBus
 from rosemaryridge.membership._leaving import LeavingTargets
@@ -15,7 +16,6 @@
 from rosemaryridge.membership._messages import MembershipDigest
 from rosemaryridge.membership._messages import MemberState
 from rosemaryridge.membership._placement import Placement
-from rosemaryridge.membership._settings import MembershipSettings
 from rosemaryridge.membership._table import MemberTable
 from rosemaryridge.membership._vms import VmList
 from rosemaryridge.model import Endpoint
--- a/src/rosemaryridge/membership/_vms.py
+++ b/src/rosemaryridge/membership/_vms.py
@@ -4,8 +4,8 @@
 import random
 import typing as t
 
+from rosemaryridge.config import MembershipSettings
 from rosemaryridge.exceptions import StoreError
-from rosemaryridge.membership._settings import MembershipSettings
 from rosemaryridge.model import Endpoint
 from rosemaryridge.platform import ObjectStore
 from rosemaryridge.platform import VmRecord
--- a/src/rosemaryridge/pool/__init__.py
+++ b/src/rosemaryridge/pool/__init__.py
@@ -1,5 +1,6 @@
 """Limit, queue and reuse connections to targets."""
 
+from rosemaryridge.config import PoolSettings
 from rosemaryridge.pool._connections import Check
 from rosemaryridge.pool._connections import Connect
 from rosemaryridge.pool._connections import TargetConnection
@@ -8,7 +9,6 @@
 from rosemaryridge.pool._pools import base_share
 from rosemaryridge.pool._pools import lendable
 from rosemaryridge.pool._retry import RetryBudget
-from rosemaryridge.pool._settings import PoolSettings
 from rosemaryridge.pool._slot_service import SlotService
 from rosemaryridge.pool._target import PoolLease
 
--- a/src/rosemaryridge/pool/_opener.py
+++ b/src/rosemaryridge/pool/_opener.py
@@ -3,13 +3,13 @@
 import asyncio
 import random
 
+from rosemaryridge.config import PoolSettings
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.config import TargetConfig
 from rosemaryridge.exceptions import RosemaryridgeError
 from rosemaryridge.pool._connections import Connect
 from rosemaryridge.pool._connections import TargetConnection
 from rosemaryridge.pool._pacer import OpenPacer
-from rosemaryridge.pool._settings import PoolSettings
 from rosemaryridge.timer import TimerService
 
 
--- a/src/rosemaryridge/pool/_pools.py
+++ b/src/rosemaryridge/pool/_pools.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from rosemaryridge import codes
+from rosemaryridge.config import PoolSettings
 from rosemaryridge.config import Priority
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.config import TargetConfig
@@ -13,7 +14,6 @@
 from rosemaryridge.pool._connections import Check
 from rosemaryridge.pool._connections import Connect
 from rosemaryridge.pool._queue import Entry
-from rosemaryridge.pool._settings import PoolSettings
 from rosemaryridge.pool._target import PoolLease
 from rosemaryridge.pool._target import TargetPool
 from rosemaryridge.telemetry import Metrics
--- a/src/rosemaryridge/pool/_target.py
+++ b/src/rosemaryridge/pool/_target.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from rosemaryridge import codes
+from rosemaryridge.config import PoolSettings
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.config import TargetConfig
 from rosemaryridge.exceptions import Refusal
@@ -15,7 +16,6 @@
 from rosemaryridge.pool._opener import Opener
 from rosemaryridge.pool._opener import OpenFailed
 from rosemaryridge.pool._queue import Entry
-from rosemaryridge.pool._settings import PoolSettings
 from rosemaryridge.pool._slots import Effect
 from rosemaryridge.pool._slots import Granted
 from rosemaryridge.pool._slots import SlotTable
