End work on a replaced primary as soon as another one leads

Cause: a statement, COMMIT or open transaction on a primary that stopped answering waited for its own deadline, although the proxy already knew that another target led. With a deadline of 20 s and the primary stopped, the next statement of an open transaction was answered after 20.0 s, and a write in flight with 57014 at its deadline.

Change: each placement on a primary is held in one set a service while it has its connection. When a newer term is known, the connections of older terms are closed; the request takes in the new event Replaced, whose rules are in request.Request. A sent write or COMMIT is unknown (3004), a read or what was not sent goes elsewhere, an open transaction is not run (4006). What waited for a connection while the primary was replaced chooses its target again. A statement prepared on a terminated connection now fails with a connection error; asyncpg failed with an AttributeError, which callers saw as XX000.

A primary that is fenced while no newer term is known keeps its requests, since it may still answer that they have not run.

--- a/src/rosemaryridge/proxy/_autocommit.py
+++ b/src/rosemaryridge/proxy/_autocommit.py
@@ -15,7 +15,7 @@
 from rosemaryridge.proxy._caller_state import Terms
 from rosemaryridge.proxy._connect import CONNECTION_ERRORS
 from rosemaryridge.proxy._parts import Parts
-from rosemaryridge.proxy._placing import Placement
+from rosemaryridge.proxy._placement import Placement
 from rosemaryridge.proxy._placing import Placer
 from rosemaryridge.proxy._running import Running
 from rosemaryridge.proxy._running import cancel_quietly
@@ -26,7 +26,6 @@
 from rosemaryridge.request import Continue
 from rosemaryridge.request import DeadlinePassed
 from rosemaryridge.request import Effect
-from rosemaryridge.request import Failed
 from rosemaryridge.request import Finish
 from rosemaryridge.request import Lost
 from rosemaryridge.request import Refused
@@ -189,12 +188,12 @@
             effect = await self._run(placement, max_rows)
             answered = ok = True
         except asyncpg.PostgresError as exc:
-            answered = True
+            answered = not placement.replaced
             self._error = exc
-            effect = self.request.on_event(Failed(exc.sqlstate or ""))
-            ok = isinstance(effect, Finish)
-        except CONNECTION_ERRORS:
-            effect = self.request.on_event(Lost())
+            effect = self.request.on_event(placement.failure(exc))
+            ok = answered and isinstance(effect, Finish)
+        except CONNECTION_ERRORS as exc:
+            effect = self.request.on_event(placement.failure(exc))
         finally:
             self.running.connection = None
             if not answered:
@@ -221,6 +220,7 @@
 
     async def _prepare(self, placement: Placement) -> Prepared:
         prepared = await prepare(placement.connection, self._work)
+        placement.check()
         self.request.on_event(Sent(placement.target, placement.primary))
         return prepared
 
--- a/src/rosemaryridge/proxy/_commit.py
+++ b/src/rosemaryridge/proxy/_commit.py
@@ -9,7 +9,7 @@
 from rosemaryridge.model import Outcome
 from rosemaryridge.proxy._caller_state import Terms
 from rosemaryridge.proxy._connect import CONNECTION_ERRORS
-from rosemaryridge.proxy._placing import Placement
+from rosemaryridge.proxy._placement import Placement
 from rosemaryridge.proxy._placing import Placer
 from rosemaryridge.proxy._running import Running
 from rosemaryridge.request import Answered
@@ -18,7 +18,6 @@
 from rosemaryridge.request import ConfirmFailed
 from rosemaryridge.request import DeadlinePassed
 from rosemaryridge.request import Effect
-from rosemaryridge.request import Failed
 from rosemaryridge.request import Finish
 from rosemaryridge.request import Lost
 from rosemaryridge.request import Request
@@ -71,11 +70,11 @@
             answered = True
             return self._request.on_event(Answered())
         except asyncpg.PostgresError as exc:
-            answered = True
+            answered = not placement.replaced
             self._error = exc
-            return self._request.on_event(Failed(exc.sqlstate or ""))
-        except CONNECTION_ERRORS:
-            return self._request.on_event(Lost())
+            return self._request.on_event(placement.failure(exc))
+        except CONNECTION_ERRORS as exc:
+            return self._request.on_event(placement.failure(exc))
         finally:
             self.running.connection = None
             reusable = answered and not connection.in_transaction()
--- a/src/rosemaryridge/proxy/_describe.py
+++ b/src/rosemaryridge/proxy/_describe.py
@@ -10,6 +10,7 @@
 from rosemaryridge.proxy._caller_state import Terms
 from rosemaryridge.proxy._connect import CONNECTION_ERRORS
 from rosemaryridge.proxy._query import Query
+from rosemaryridge.request import Replaced
 from rosemaryridge.wire import Description
 from rosemaryridge.wire import formats_of
 
@@ -56,12 +57,17 @@
 ) -> Description | None:
     """Return the types, None where the connection was lost."""
     write = not session.is_read(query)
-    placement = await session.placer.place(write, terms)
+    try:
+        placement = await session.placer.place(write, terms)
+    except CONNECTION_ERRORS:
+        return None
     ok = False
     try:
         prepared = await placement.connection.prepare(query.text, formats_of((), ()))
         ok = True
-    except asyncpg.PostgresError:
+    except asyncpg.PostgresError as exc:
+        if isinstance(placement.failure(exc), Replaced):
+            return None
         ok = True
         raise
     except CONNECTION_ERRORS:
--- a/src/rosemaryridge/proxy/_keyed.py
+++ b/src/rosemaryridge/proxy/_keyed.py
@@ -5,7 +5,7 @@
 from rosemaryridge import codes
 from rosemaryridge.model import Outcome
 from rosemaryridge.proxy._attempt import prepare
-from rosemaryridge.proxy._placing import Placement
+from rosemaryridge.proxy._placement import Placement
 from rosemaryridge.proxy._records import KeyedRequest
 from rosemaryridge.proxy._records import Record
 from rosemaryridge.proxy._records import StoredAnswer
--- a/src/rosemaryridge/proxy/_parts.py
+++ b/src/rosemaryridge/proxy/_parts.py
@@ -14,6 +14,7 @@
 from rosemaryridge.pool import Pools
 from rosemaryridge.pool import RetryBudget
 from rosemaryridge.proxy._patience import Patience
+from rosemaryridge.proxy._placement import InFlight
 from rosemaryridge.request import ServicePolicy
 from rosemaryridge.routing import Router
 from rosemaryridge.session import Found
@@ -114,6 +115,7 @@
         default_factory=lambda: StatementCache(_STATEMENTS)
     )
     descriptions: DescriptionCache = dataclasses.field(default_factory=DescriptionCache)
+    in_flight: InFlight = dataclasses.field(default_factory=InFlight)
     policies: dict[str, ServicePolicy] = dataclasses.field(default_factory=dict)
 
     @property
--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -1,6 +1,5 @@
 """Choose the target of a request and get a connection to it."""
 
-import dataclasses
 import typing as t
 
 from rosemaryridge import codes
@@ -11,6 +10,7 @@
 from rosemaryridge.proxy._caller_state import ReadMark
 from rosemaryridge.proxy._caller_state import Terms
 from rosemaryridge.proxy._parts import Parts
+from rosemaryridge.proxy._placement import Placement
 from rosemaryridge.routing import Need
 from rosemaryridge.telemetry import STAGE_SECONDS
 from rosemaryridge.telemetry import Log
@@ -21,22 +21,6 @@
 log = Log("request")
 
 
-@dataclasses.dataclass(slots=True)
-class Placement:
-    """Hold the target that was chosen, and the connection to it."""
-
-    target: str
-    term: int
-    primary: bool
-    started_at: float
-    lease: PoolLease
-
-    @property
-    def connection(self) -> TargetConnection:
-        """Return the connection."""
-        return self.lease.connection
-
-
 class Placer:
     """Place one caller's requests so that it never goes back in time."""
 
@@ -48,7 +32,24 @@
     async def place(
         self, write: bool, terms: Terms, exclude: frozenset[str] = frozenset()
     ) -> Placement:
-        """Return a connection to a fitting target; raise Refusal."""
+        """Return a connection to a fitting target; raise Refusal.
+
+        A connection error tells that the connection was lost before it was used.
+        """
+        while True:
+            placement = await self._choose(write, terms, exclude)
+            if not self._is_outdated(placement):
+                return await self._ready(placement, terms)
+            # The primary was replaced while a connection was waited for.
+            placement.lease.discard()
+
+    def _is_outdated(self, placement: Placement) -> bool:
+        view = self._parts.group.view(self._state.service)
+        return placement.primary and placement.term < view.term
+
+    async def _choose(
+        self, write: bool, terms: Terms, exclude: frozenset[str]
+    ) -> Placement:
         parts, state = self._parts, self._state
         view = parts.group.view(state.service)
         need = await self._need(view, write, terms, exclude)
@@ -61,17 +62,28 @@
         begin = parts.timer.now()
         lease = await self._acquire(target, terms)
         self._observe("queue", begin)
+        return Placement(target, term, primary, parts.timer.now(), lease)
+
+    async def _ready(self, placement: Placement, terms: Terms) -> Placement:
+        """Make a connection fit for its caller."""
+        parts, service = self._parts, self._state.service
+        target, primary = placement.target, placement.primary
+        parts.in_flight.add(service, placement)
         try:
-            await self._prepare(lease.connection)
+            await self._prepare(placement.connection)
+            placement.check()
             if not primary:
                 await self._share_mark(target, terms)
         except BaseException:
-            lease.discard()
+            parts.in_flight.discard(service, placement)
+            placement.lease.discard()
             raise
-        lease.connection.notice_handler = self.on_notice
-        parts.router.started(state.service, target)
+        placement.connection.notice_handler = self.on_notice
+        placement.started_at = parts.timer.now()
+        parts.router.started(service, target)
+        term = placement.term
         log.note("A target is chosen.", target=target, term=term, primary=primary)
-        return Placement(target, term, primary, parts.timer.now(), lease)
+        return placement
 
     async def _await_replica(self, service, view, need: Need, terms: Terms) -> None:
         """Wait while a replica is about to catch up; the primary has less to give."""
@@ -223,12 +235,14 @@
     def done(self, placement: Placement, ok: bool, reusable: bool) -> None:
         """Give the connection back, or close it."""
         parts = self._parts
+        parts.in_flight.discard(self._state.service, placement)
         self._observe("target", placement.started_at)
         log.note("The target is done.", target=placement.target, ok=ok)
         latency_s = parts.timer.now() - placement.started_at
         parts.router.finished(self._state.service, placement.target, latency_s, ok)
         connection = placement.connection
         connection.notice_handler = None
+        reusable = reusable and not placement.replaced
         if reusable or parts.faults.reuse_abandoned:
             placement.lease.release()
         else:
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -74,6 +74,7 @@
         self.draining = False
         self.admin = AdminServer(cfg.admin.listen, self.metrics, register(self))
         self.on_drain: t.Callable[[], None] = lambda: None
+        self.group.on_primary(self.parts.in_flight.primary_changed)
         self.config.on_change(self.adopt)
 
     def _membership(self) -> Membership:
--- a/src/rosemaryridge/proxy/_runs.py
+++ b/src/rosemaryridge/proxy/_runs.py
@@ -4,7 +4,7 @@
 from rosemaryridge.proxy._attempt import RowStream
 from rosemaryridge.proxy._attempt import total_tag
 from rosemaryridge.proxy._autocommit import Autocommit
-from rosemaryridge.proxy._placing import Placement
+from rosemaryridge.proxy._placement import Placement
 from rosemaryridge.request import Answered
 from rosemaryridge.request import Confirm
 from rosemaryridge.request import Continue
--- a/src/rosemaryridge/proxy/_transaction.py
+++ b/src/rosemaryridge/proxy/_transaction.py
@@ -19,7 +19,7 @@
 from rosemaryridge.proxy._connect import CONNECTION_ERRORS
 from rosemaryridge.proxy._keyed import begin_with_record
 from rosemaryridge.proxy._parts import Parts
-from rosemaryridge.proxy._placing import Placement
+from rosemaryridge.proxy._placement import Placement
 from rosemaryridge.proxy._placing import Placer
 from rosemaryridge.proxy._records import KeyedRequest
 from rosemaryridge.proxy._running import Running
--- a/src/rosemaryridge/request/__init__.py
+++ b/src/rosemaryridge/request/__init__.py
@@ -15,6 +15,7 @@
 from rosemaryridge.request._events import Finish
 from rosemaryridge.request._events import Lost
 from rosemaryridge.request._events import Refused
+from rosemaryridge.request._events import Replaced
 from rosemaryridge.request._events import RequestKind
 from rosemaryridge.request._events import Retry
 from rosemaryridge.request._events import Sent
@@ -44,6 +45,7 @@
     "Finish",
     "Lost",
     "Refused",
+    "Replaced",
     "Request",
     "RequestKind",
     "RequestOptions",
--- a/src/rosemaryridge/request/_events.py
+++ b/src/rosemaryridge/request/_events.py
@@ -48,6 +48,11 @@
     """Report that the connection broke or stayed silent."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replaced:
+    """Report that the connection was closed since its primary leads no more."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
     """Report that a part of the proxy refused the request before it was sent."""
@@ -84,6 +89,7 @@
     | Answered
     | Failed
     | Lost
+    | Replaced
     | Refused
     | DeadlinePassed
     | Confirmed
--- a/src/rosemaryridge/request/_request.py
+++ b/src/rosemaryridge/request/_request.py
@@ -182,6 +182,14 @@
             return self._again("idempotent_lost", codes.request.CONNECTION_LOST)
         return self._finish(Outcome.UNKNOWN, codes.request.CONNECTION_LOST)
 
+    @_on(events.Replaced)
+    def _replaced(self, event: events.Replaced) -> Effect:
+        if self._kind is RequestKind.IN_TRANSACTION or self.stage is Stage.WAITING:
+            return self._lost(events.Lost())
+        if self._is_read:
+            return self._again("primary_replaced", codes.request.READ_FAILED)
+        return self._unconfirmed_write(codes.group.PRIMARY_REPLACED)
+
     def _lost_before_sent(self) -> Effect:
         if self._kind is RequestKind.COMMIT:
             return self._finish(Outcome.NOT_RUN, codes.request.TRANSACTION_LOST)
--- a/src/rosemaryridge/wire/_target_connection.py
+++ b/src/rosemaryridge/wire/_target_connection.py
@@ -104,6 +104,10 @@
             raise asyncpg.InterfaceError("the connection was terminated")
         return protocol
 
+    def _require_open(self) -> None:
+        """Raise a connection error where asyncpg itself would fail in another way."""
+        _ = self._protocol
+
     def is_closed(self) -> bool:
         """Tell whether the connection is of no more use."""
         return self._conn.is_closed()
@@ -154,6 +158,7 @@
         if prepared is not None:
             return prepared
         key = (sql, formats)
+        self._require_open()
         self._conn.use_formats(formats)
         state = await self._conn._get_statement(sql, None, named=True, use_cache=False)
         state.attach()
--- a/tests/test_request.py
+++ b/tests/test_request.py
@@ -23,6 +23,7 @@
 from rosemaryridge.request import Finish
 from rosemaryridge.request import Lost
 from rosemaryridge.request import Refused
+from rosemaryridge.request import Replaced
 from rosemaryridge.request import Request
 from rosemaryridge.request import RequestKind
 from rosemaryridge.request import RequestOptions
@@ -109,6 +110,31 @@
         self.assertIsInstance(end(read, SENT, Answered(), failed), Retry)
         self.assertIsInstance(end(read, ON_REPLICA, Failed("40001")), Retry)
 
+    def test_primary_replaced(self):
+        write, commit = RequestKind.WRITE, RequestKind.COMMIT
+        for kind in (write, commit):
+            sent = end(kind, SENT, Replaced())
+            self.outcome(sent, Outcome.UNKNOWN, codes.group.PRIMARY_REPLACED)
+            answered = end(kind, SENT, Answered(), Replaced())
+            self.outcome(answered, Outcome.UNKNOWN, codes.group.PRIMARY_REPLACED)
+        self.assertIsInstance(end(write, Replaced()), Retry)
+        self.assertIsInstance(end(write, SENT, Replaced(), idempotent=True), Retry)
+        before = end(commit, Replaced())
+        self.outcome(before, Outcome.NOT_RUN, codes.request.TRANSACTION_LOST)
+        for events in ((Replaced(),), (SENT, Replaced())):
+            inside = end(RequestKind.IN_TRANSACTION, *events)
+            self.outcome(inside, Outcome.NOT_RUN, codes.request.TRANSACTION_LOST)
+
+    def test_primary_replaced_under_a_read(self):
+        read = RequestKind.READ
+        self.assertIsInstance(end(read, SENT, Replaced()), Retry)
+        streamed = (SENT, Answered(False), Confirmed(), Delivered(), Replaced())
+        partly = end(read, *streamed)
+        self.outcome(partly, Outcome.NOT_RUN, codes.request.READ_FAILED)
+        cancelled = end(read, SENT, CancelAsked(), Replaced())
+        code = codes.request.CANCELED_NOT_SENT
+        self.outcome(cancelled, Outcome.NOT_RUN, code)
+
     def test_idempotent_write_stays_unknown_when_it_cannot_be_repeated(self):
         write = RequestKind.WRITE
         budget = Refused(codes.limits.RETRY_BUDGET_SPENT)
@@ -131,12 +157,16 @@
 EVENTS = st.one_of(
     st.sampled_from((SENT, ON_REPLICA, Delivered(), Answered(), Answered(False))),
     st.sampled_from((Lost(), DeadlinePassed(), Confirmed(), CancelAsked())),
+    st.just(Replaced()),
     st.sampled_from(("23505", "25006", "57P01", "40001", "57014")).map(Failed),
     st.just(ConfirmFailed(codes.group.ACK_TIMEOUT)),
     st.just(Refused(codes.limits.QUEUE_FULL)),
 )
 
 
+_MAY_HAVE_RUN = (Lost, Replaced, Answered, DeadlinePassed, Failed)
+
+
 class Target:
     """Know whether a write may have taken effect, apart from the request."""
 
@@ -149,7 +179,7 @@
             self.open = True
         elif isinstance(event, Failed) and not event.sqlstate.startswith("57P"):
             self.open = False
-        elif self.open and isinstance(event, Lost | Answered | DeadlinePassed | Failed):
+        elif self.open and isinstance(event, _MAY_HAVE_RUN):
             self.may_have_run = True
             self.open = False
 
@@ -162,6 +192,7 @@
     @hypothesis.given(st.lists(EVENTS, max_size=8), st.booleans())
     @hypothesis.example([SENT, Answered(), SENT, Failed("23505")], False)
     @hypothesis.example([SENT, Answered(), SENT, Failed("25006")], False)
+    @hypothesis.example([SENT, Replaced(), SENT, Failed("23505")], True)
     @hypothesis.settings(max_examples=500, deadline=None)
     def test_not_run_is_never_said_of_what_may_have_run(self, events, idempotent):
         request, target = Request(RequestKind.WRITE, idempotent), Target()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,13 +1,17 @@
 """Test what the wire does without sockets."""
 
+import asyncio
 import base64
 import unittest
+from unittest import mock
 
+import asyncpg
 from pg_mimic import types as oids
 
 from rosemaryridge import codes
 from rosemaryridge.exceptions import Refusal
 from rosemaryridge.wire import Column
+from rosemaryridge.wire import TargetConnection
 from rosemaryridge.wire import Verifier
 from rosemaryridge.wire import formats_of
 from rosemaryridge.wire._columns import convert
@@ -37,6 +41,19 @@
                 Verifier.parse(text)
 
 
+class TestTerminatedConnection(unittest.TestCase):
+    def test_raises_a_connection_error(self):
+        conn = mock.Mock()
+        connection = TargetConnection(conn, mock.Mock())
+        conn._protocol = None
+        for work in (
+            connection.prepare("SELECT 1", formats_of((), ())),
+            connection.command("SELECT 1"),
+        ):
+            with self.assertRaises(asyncpg.InterfaceError):
+                asyncio.run(work)
+
+
 class TestRows(unittest.TestCase):
     def test_data_row(self):
         expected = b"D\x00\x00\x00\x14\x00\x03\x00\x00\x00\x02hi\xff\xff\xff\xff"
