Measure failover with processes in the one bench command

Cause: the failover gap was measured by a command of its own, in model time only, and with processes for one fault by hand.

Change: `rosemaryridge-bench failover` kills, pauses and cuts off the primary of real fleets at the latencies of both deployments, with the store up, slow and down; five faults a row, two fleets at once.

--- a/src/rosemaryridge_testbed/experiments/__init__.py
+++ b/src/rosemaryridge_testbed/experiments/__init__.py
@@ -1,6 +1,8 @@
 """Measure decisions in time that is moved by hand."""
 
 from rosemaryridge_testbed.experiments import _callers as _callers
+from rosemaryridge_testbed.experiments import _failover as _failover
+from rosemaryridge_testbed.experiments import _failover_model as _failover_model
 from rosemaryridge_testbed.experiments import _isolation as _isolation
 from rosemaryridge_testbed.experiments import _overload as _overload
 from rosemaryridge_testbed.experiments import _read_share as _read_share
