--- a/src/rosemaryridge_testbed/experiments/_isolation.py
+++ b/src/rosemaryridge_testbed/experiments/_isolation.py
@@ -22,7 +22,7 @@
 _DEADLINE_S = 1.0
 _PERIOD_S = 0.5
 _ONSET_S = 3.0
-_RUN_S = 20.0
+_RUN_S = 80.0
 _FLOOD = 3.0
 _SHARES = {"victim": 0.5, "flood": 0.5}
 
