Let a replaced primary that works give its last answers

Cause: in a planned change the leaving primary answers its last writes as fenced, not run, while the proxy already knows the new term.

Change: requests on a replaced primary are ended 0.2 s after the new term is known.

--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -42,6 +42,8 @@
 _GRANTOR_CANDIDATES = 3
 # A message holds one statement or its parameters.
 _MESSAGE_PER_STATEMENT = 16
+# A replaced primary that still works answers that a write did not run.
+_LAST_ANSWERS_S = 0.2
 
 log = Log("proxy")
 
@@ -74,7 +76,7 @@
         self.draining = False
         self.admin = AdminServer(cfg.admin.listen, self.metrics, register(self))
         self.on_drain: t.Callable[[], None] = lambda: None
-        self.group.on_primary(self.parts.in_flight.primary_changed)
+        self.group.on_primary(self._primary_changed)
         self.config.on_change(self.adopt)
 
     def _membership(self) -> Membership:
@@ -182,6 +184,10 @@
         self.parts.adopt(service)
         log.info("A service is served.", service=service.name)
 
+    def _primary_changed(self, service: str, term: int, primary: str | None) -> None:
+        end = self.parts.in_flight.primary_changed
+        self.timer.after(_LAST_ANSWERS_S, lambda: end(service, term, primary))
+
     def reload(self, wanted: ProxySettings) -> None:
         """Take over from changed settings what can change now."""
         reload = reload_settings(self.cfg, wanted)
