Test a failure domain lost at once and regions apart for an hour

Cause: both are stated failures and neither had a test of membership. Change: 30 members lose a third of them at once: within 10 s the others agree, and each group is watched from every failure domain that is left. 10 members are parted for an hour of virtual time with the store down: each side watches with its own members, and all agree within a minute of its end. Before: no test. Conclusion: no change of the code was needed.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -212,13 +212,46 @@
         await self.fleet(8)
         self.store.down = True
         left, right = set(list(self.members)[:4]), set(list(self.members)[4:])
+        self.part(left, right)
+        self.timer.advance(60.0)
+        self.assert_agreed(left)
+        self.assert_agreed(right)
+        self.network.heal()
+        self.timer.advance(60.0)
+        self.assert_agreed(left | right)
+
+    def part(self, left, right):
         for one in left:
             for other in right:
                 self.network.cut(one, other)
                 self.network.cut(other, one)
-        self.timer.advance(60.0)
-        self.assert_agreed(left)
-        self.assert_agreed(right)
+
+    async def test_a_failure_domain_lost_at_once_leaves_groups_their_watchers(self):
+        await self.fleet(30)
+        lost = {vm for vm in self.members if int(vm[2:]) % 3 == 0}
+        for vm in lost:
+            self.network.crash(vm)
+        self.timer.advance(10.0)
+        rest = set(self.members) - lost
+        self.assert_agreed(rest)
+        for name in (f"group{n}" for n in range(30)):
+            ranked = {self.members[vm].watchers(service(name)) for vm in rest}
+            self.assertEqual(len(ranked), 1)
+            watchers = ranked.pop()
+            self.assertLessEqual(set(watchers), rest)
+            self.assertEqual({int(vm[2:]) % 3 for vm in watchers}, {1, 2})
+
+    async def test_regions_apart_for_an_hour_watch_alone_and_agree_again(self):
+        await self.fleet(10)
+        self.store.down = True
+        left, right = set(list(self.members)[:5]), set(list(self.members)[5:])
+        self.part(left, right)
+        self.timer.advance(3600.0)
+        for side in (left, right):
+            self.assert_agreed(side)
+            for vm in side:
+                watchers = self.members[vm].watchers(service("group"))
+                self.assertLessEqual(set(watchers), side)
         self.network.heal()
         self.timer.advance(60.0)
         self.assert_agreed(left | right)
