Choose a read's target twice only after a wait

Cause: a read that goes to the primary chose its target again even where it had not waited for a replica, and two experiments had a percentile of their own beside the one that the others use. Change: the wait tells whether it waited, and only then is the target chosen again; `percentile` of the simulations serves every experiment. Behaviour stays as it is.

--- a/src/rosemaryridge/proxy/_placing.py
+++ b/src/rosemaryridge/proxy/_placing.py
@@ -55,8 +55,8 @@
         need = await self._need(view, write, terms, exclude)
         service = parts.policy(state.service).service
         target = parts.router.choose(service, view, need, parts.timer.now())
-        if not need.write and target == view.primary:
-            await self._await_replica(service, view, need, terms)
+        to_primary = target == view.primary
+        if to_primary and await self._await_replica(service, view, need, terms):
             target = parts.router.choose(service, view, need, parts.timer.now())
         term, primary = view.term, target == view.primary
         begin = parts.timer.now()
@@ -85,16 +85,21 @@
         log.note("A target is chosen.", target=target, term=term, primary=primary)
         return placement
 
-    async def _await_replica(self, service, view, need: Need, terms: Terms) -> None:
-        """Wait while a replica is about to catch up; the primary has less to give."""
+    async def _await_replica(self, service, view, need: Need, terms: Terms) -> bool:
+        """Wait while a replica is about to catch up; return whether it was waited."""
+        if need.write:
+            return False
         parts = self._parts
+        waited = False
         wait_s = terms.replica_wait_s
         until = min(terms.deadline, parts.timer.now() + wait_s)
         while parts.router.replica_expected(
             service, view, need, wait_s, parts.timer.now()
         ):
+            waited = True
             if not await parts.group.next_status(service.name, until):
-                return
+                break
+        return waited
 
     async def _acquire(self, target: str, terms: Terms) -> PoolLease:
         parts, state = self._parts, self._state
--- a/src/rosemaryridge_testbed/experiments/_read_share.py
+++ b/src/rosemaryridge_testbed/experiments/_read_share.py
@@ -8,6 +8,7 @@
 from rosemaryridge.config import RequestRule
 from rosemaryridge_testbed.experiments._registry import Row
 from rosemaryridge_testbed.experiments._registry import experiment
+from rosemaryridge_testbed.experiments._sim import percentile
 from rosemaryridge_testbed.fleet import Fleet
 from rosemaryridge_testbed.fleet import FleetOptions
 from rosemaryridge_testbed.history import History
@@ -59,7 +60,7 @@
         await trial.run_for(_RUN_S)
         await trial.finish()
         reads = trial.recorder.reads
-        took = sorted((read.ended - read.started) * 1e3 for read in reads)
+        took = [(read.ended - read.started) * 1e3 for read in reads]
         return ShareRow(
             lag_ms,
             wait_s,
@@ -67,7 +68,7 @@
             round(await trial.replica_share(), 4),
             round(baseline_share(trial.recorder), 4),
             round(statistics.median(took), 2),
-            round(took[int(len(took) * 0.99)], 2),
+            round(percentile(took, 0.99), 2),
             len(trial.findings),
         )
 
--- a/src/rosemaryridge_testbed/experiments/_throughput.py
+++ b/src/rosemaryridge_testbed/experiments/_throughput.py
@@ -11,6 +11,7 @@
 from rosemaryridge_testbed.experiments._callers import connect_to
 from rosemaryridge_testbed.experiments._registry import Row
 from rosemaryridge_testbed.experiments._registry import experiment
+from rosemaryridge_testbed.experiments._sim import percentile
 from rosemaryridge_testbed.fleet import Fleet
 from rosemaryridge_testbed.fleet import FleetOptions
 from rosemaryridge_testbed.load import create_table
@@ -26,7 +27,7 @@
         started = time.perf_counter()
         await conn.fetch(READ, "none")
         timings.append(time.perf_counter() - started)
-    return sorted(timings)
+    return timings
 
 
 async def _throughput(conns: t.Sequence[asyncpg.Connection]) -> float:
@@ -51,7 +52,7 @@
     return {
         "way": name,
         "median ms": round(statistics.median(timings) * 1e3, 3),
-        "p99 ms": round(timings[int(len(timings) * 0.99)] * 1e3, 3),
+        "p99 ms": round(percentile(timings, 0.99) * 1e3, 3),
         "reads a second": round(rate),
     }
 
