--- /dev/null
+++ b/src/rosemaryridge/cli/entry.py
@@ -0,0 +1,190 @@
+"""Run the proxy of one entry VM on the users' platform."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+
+import uvloop
+
+from rosemaryridge.core import EventLog
+from rosemaryridge.core import Failover
+from rosemaryridge.core import Follower
+from rosemaryridge.core import Proxy
+from rosemaryridge.core import TargetInfo
+from rosemaryridge.exceptions import SettingsError
+from rosemaryridge.platform import documents
+from rosemaryridge.platform import target
+from rosemaryridge.platform.callers import CallerServer
+from rosemaryridge.platform.http import HttpServer
+from rosemaryridge.platform.promotions import Promotions
+from rosemaryridge.platform.settings import VmSettings
+from rosemaryridge.platform.settings import load_settings
+from rosemaryridge.platform.settings import settings_path
+from rosemaryridge.platform.store import Change
+from rosemaryridge.platform.store import Store
+from rosemaryridge.platform.store import StoredObject
+
+# The balancer asks once a second and stops after two misses; until then it sends
+# callers here.
+_BALANCER_S = 2.5
+# Of the time until SIGKILL, kept for the last answers to leave the machine.
+_EXIT_MARGIN_S = 0.7
+_DRAIN_POLL_S = 0.05
+# The settings may change without a signal.
+_SETTINGS_POLL_S = 5.0
+_EXIT_BAD_SETTINGS = 2
+
+
+class Entry:
+    """Wire the data path to the platform."""
+
+    def __init__(self, cfg: VmSettings, path: str):
+        self._cfg = cfg
+        self._path = path
+        self._modified = _modified(path)
+        self._stopping = asyncio.Event()
+        self._log = EventLog(cfg.vm)
+        rng = random.Random()
+        self._store = Store(cfg.store)
+        self._orders = Promotions(cfg.promotions, cfg.vm)
+        self._failover = Failover(cfg.vm, self._store, self._orders, self._log, rng)
+        self._proxy = Proxy(
+            cfg.failure_domain, target.connect, rng, self._log, self._failover.trouble
+        )
+        self._callers = CallerServer(self._proxy)
+        self._pages = HttpServer({"/rosemaryridge/readiness": self._readiness})
+        self._followers = (
+            Follower(
+                self._store,
+                documents.CONFIG_KIND,
+                self._adopt_configs,
+                lambda change: self._adopt_configs((change.object,)),
+                self._log,
+                rng,
+            ),
+            Follower(
+                self._store,
+                documents.TARGETS_KIND,
+                self._replace_targets,
+                self._change_target,
+                self._log,
+                rng,
+            ),
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._log.write("started", pid=os.getpid(), failure_domain=self._cfg.failure_domain)
+        following = [loop.create_task(one.run()) for one in self._followers]
+        for task in following:
+            task.add_done_callback(self._follower_ended)
+        await self._pages.start(self._cfg.readiness)
+        await self._callers.start(self._cfg.callers)
+        polling = loop.create_task(self._poll_settings())
+        await self._stopping.wait()
+        await self._drain()
+        polling.cancel()
+
+    def _follower_ended(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._log.write("follower_failed", reason=repr(task.exception()))
+            # Without the store's news the process is of no use; a new one may be.
+            os._exit(1)
+
+    async def _drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self._log.write("stopping", callers=len(self._callers.connections))
+        self._failover.stopping = True
+        self._callers.drain()
+        await asyncio.sleep(_BALANCER_S)
+        self._callers.stop_listening()
+        until = began + self._cfg.grace_s - _EXIT_MARGIN_S
+        while self._callers.connections and loop.time() < until:
+            await asyncio.sleep(_DRAIN_POLL_S)
+        self._log.write("stopped", callers=len(self._callers.connections))
+        self._callers.close()
+        await asyncio.sleep(_DRAIN_POLL_S)
+
+    def _readiness(self) -> tuple[int, bytes]:
+        ready = self._proxy.ready and not self._stopping.is_set()
+        return (200 if ready else 503), b""
+
+    def _adopt_configs(self, objects: tuple[StoredObject, ...]) -> None:
+        for stored in objects:
+            if stored.name != documents.CONFIG_NAME or stored.spec is None:
+                continue
+            try:
+                config = documents.decode_config(stored.spec)
+            except documents.UnreadableDocument as exc:
+                self._log.write("config_unreadable", reason=str(exc))
+                continue
+            self._proxy.adopt_config(config)
+
+    def _replace_targets(self, objects: tuple[StoredObject, ...]) -> None:
+        infos = (self._target(stored) for stored in objects)
+        self._proxy.directory.replace([info for info in infos if info is not None])
+        self._proxy.check_ready()
+
+    def _change_target(self, change: Change) -> None:
+        info = None if change.removed else self._target(change.object)
+        if info is not None:
+            self._proxy.directory.put(info)
+        elif change.removed:
+            self._proxy.directory.remove(change.object.name)
+
+    def _target(self, stored: StoredObject) -> TargetInfo | None:
+        try:
+            return documents.decode_target(stored.name, stored.spec)
+        except documents.UnreadableDocument as exc:
+            self._log.write("target_unreadable", reason=str(exc))
+            return None
+
+    def _reload(self) -> None:
+        self._modified = _modified(self._path)
+        try:
+            cfg = load_settings(self._path)
+        except SettingsError as exc:
+            self._log.write("settings_rejected", reason=str(exc))
+            return
+        changed = [name for name in cfg.__slots__ if getattr(cfg, name) != getattr(self._cfg, name)]
+        self._log.write("settings_read", changed=changed)
+        self._cfg = cfg
+
+    async def _poll_settings(self) -> None:
+        while True:
+            await asyncio.sleep(_SETTINGS_POLL_S)
+            if _modified(self._path) != self._modified:
+                self._reload()
+
+
+def _modified(path: str) -> float:
+    try:
+        return os.stat(path).st_mtime
+    except OSError:
+        return 0.0
+
+
+async def _run(cfg: VmSettings, path: str) -> None:
+    await Entry(cfg, path).run()
+
+
+def main() -> None:
+    """Serve callers until SIGTERM; SIGHUP reads the settings again."""
+    path = settings_path()
+    try:
+        cfg = load_settings(path)
+    except SettingsError as exc:
+        print(f"rosemaryridge-entry: {exc}", file=sys.stderr)
+        sys.exit(_EXIT_BAD_SETTINGS)
+    uvloop.run(_run(cfg, path))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rosemaryridge/cli/publish.py
+++ b/src/rosemaryridge/cli/publish.py
@@ -31,8 +31,8 @@
 from rosemaryridge.exceptions import Refusal
 from rosemaryridge.exceptions import SettingsError
 from rosemaryridge.exceptions import StoreError
-from rosemaryridge.platform import HttpObjectStore
-from rosemaryridge.platform import PlatformSettings
+from rosemaryridge.objects import HttpObjectStore
+from rosemaryridge.objects import PlatformSettings
 from rosemaryridge.telemetry import Metrics
 from rosemaryridge.timer import LoopTimer
 from rosemaryridge.wire import Verifier
--- a/src/rosemaryridge/config/__init__.py
+++ b/src/rosemaryridge/config/__init__.py
@@ -40,7 +40,7 @@
 from rosemaryridge.config._settings import ProxySettings
 from rosemaryridge.config._settings import ServicesSettings
 from rosemaryridge.config._settings import TargetsSettings
-from rosemaryridge.platform import PlatformSettings
+from rosemaryridge.objects import PlatformSettings
 
 __all__ = [
     "AccountConfig",
--- a/src/rosemaryridge/config/_follower.py
+++ b/src/rosemaryridge/config/_follower.py
@@ -13,7 +13,7 @@
 from rosemaryridge.config._service import ServiceConfig
 from rosemaryridge.config._settings import ServicesSettings
 from rosemaryridge.config._watch import StoreWatch
-from rosemaryridge.platform import ObjectStore
+from rosemaryridge.objects import ObjectStore
 from rosemaryridge.telemetry import REVISIONS
 from rosemaryridge.telemetry import SERVICE_REVISION
 from rosemaryridge.telemetry import Log
--- a/src/rosemaryridge/config/_publisher.py
+++ b/src/rosemaryridge/config/_publisher.py
@@ -20,10 +20,10 @@
 from rosemaryridge.config._watch import KIND
 from rosemaryridge.exceptions import Refusal
 from rosemaryridge.exceptions import StoreConflict
-from rosemaryridge.platform import ObjectStore
-from rosemaryridge.platform import StoredObject
-from rosemaryridge.platform import put_confirmed
-from rosemaryridge.platform import read_patiently
+from rosemaryridge.objects import ObjectStore
+from rosemaryridge.objects import StoredObject
+from rosemaryridge.objects import put_confirmed
+from rosemaryridge.objects import read_patiently
 from rosemaryridge.timer import TimerService
 
 _HISTORY_TRIES = 20
--- a/src/rosemaryridge/config/_rules.py
+++ b/src/rosemaryridge/config/_rules.py
@@ -14,7 +14,7 @@
 from rosemaryridge.config._settings import FaultSettings
 from rosemaryridge.config._settings import ProxySettings
 from rosemaryridge.config._settings import TargetsSettings
-from rosemaryridge.platform import PlatformSettings
+from rosemaryridge.objects import PlatformSettings
 
 _VERIFIER = re.compile(
     r"SCRAM-SHA-256\$\d+:[A-Za-z0-9+/=]+\$[A-Za-z0-9+/=]+:[A-Za-z0-9+/=]+"
--- a/src/rosemaryridge/config/_settings.py
+++ b/src/rosemaryridge/config/_settings.py
@@ -10,7 +10,7 @@
 from rosemaryridge.fields import setting
 from rosemaryridge.model import Endpoint
 from rosemaryridge.peer import BusSettings
-from rosemaryridge.platform import PlatformSettings
+from rosemaryridge.objects import PlatformSettings
 from rosemaryridge.telemetry import LogLevel
 
 _KIB = 1024
--- a/src/rosemaryridge/config/_watch.py
+++ b/src/rosemaryridge/config/_watch.py
@@ -7,7 +7,7 @@
 from rosemaryridge.config._settings import ServicesSettings
 from rosemaryridge.exceptions import StoreError
 from rosemaryridge.exceptions import StoreLimited
-from rosemaryridge.platform import ObjectStore
+from rosemaryridge.objects import ObjectStore
 from rosemaryridge.telemetry import Log
 from rosemaryridge.timer import TimerService
 from rosemaryridge.timer import sleep
--- /dev/null
+++ b/src/rosemaryridge/core/__init__.py
@@ -0,0 +1,51 @@
+"""Route statements with session consistency, free of any protocol."""
+
+from rosemaryridge.core import commands
+from rosemaryridge.core._boottime import boottime
+from rosemaryridge.core._caller import Caller
+from rosemaryridge.core._config import ConfigHolder
+from rosemaryridge.core._config import Consistency
+from rosemaryridge.core._config import FleetConfig
+from rosemaryridge.core._config import Route
+from rosemaryridge.core._event_log import EventLog
+from rosemaryridge.core._failover import Failover
+from rosemaryridge.core._follower import Follower
+from rosemaryridge.core._freshness import PrimaryHistory
+from rosemaryridge.core._group import Group
+from rosemaryridge.core._proxy import Proxy
+from rosemaryridge.core._statement import NOT_RUN
+from rosemaryridge.core._statement import Answer
+from rosemaryridge.core._statement import Failure
+from rosemaryridge.core._statement import Statement
+from rosemaryridge.core._statement import StatementError
+from rosemaryridge.core._statement import TargetCondition
+from rosemaryridge.core._statement import TargetLost
+from rosemaryridge.core._statement import TransactionState
+from rosemaryridge.core._statement import Verb
+from rosemaryridge.core._target_info import TargetInfo
+
+__all__ = [
+    "NOT_RUN",
+    "Answer",
+    "Caller",
+    "ConfigHolder",
+    "Consistency",
+    "EventLog",
+    "Failover",
+    "Failure",
+    "FleetConfig",
+    "Follower",
+    "Group",
+    "PrimaryHistory",
+    "Proxy",
+    "Route",
+    "Statement",
+    "StatementError",
+    "TargetCondition",
+    "TargetInfo",
+    "TargetLost",
+    "TransactionState",
+    "Verb",
+    "boottime",
+    "commands",
+]
--- /dev/null
+++ b/src/rosemaryridge/core/_caller.py
@@ -0,0 +1,141 @@
+"""Serve the statements of one caller, one after the other."""
+
+import asyncio
+import typing as t
+
+from rosemaryridge.core._config import Route
+from rosemaryridge.core._group import Group
+from rosemaryridge.core._session import Session
+from rosemaryridge.core._statement import Answer
+from rosemaryridge.core._statement import Failure
+from rosemaryridge.core._statement import Statement
+from rosemaryridge.core._statement import StatementError
+from rosemaryridge.core._statement import TransactionState
+from rosemaryridge.core._statement import Verb
+from rosemaryridge.core._transaction import Transaction
+
+if t.TYPE_CHECKING:
+    from rosemaryridge.core._proxy import Proxy
+
+_Handler = t.Callable[["Caller", Statement], t.Awaitable[Answer]]
+_HANDLERS: dict[Verb, _Handler] = {}
+_ENDINGS = (Verb.COMMIT, Verb.ROLLBACK)
+
+
+def _handles(*verbs: Verb) -> t.Callable[[_Handler], _Handler]:
+    def register(handler: _Handler) -> _Handler:
+        for verb in verbs:
+            _HANDLERS[verb] = handler
+        return handler
+
+    return register
+
+
+class Caller:
+    """Hold one caller's session and open transaction."""
+
+    def __init__(self, proxy: "Proxy", database: bytes):
+        self._proxy = proxy
+        self._session = Session(database)
+        self._transaction: Transaction | None = None
+
+    @property
+    def state(self) -> TransactionState:
+        """Return the state that the caller has been told."""
+        if self._transaction is None:
+            return TransactionState.IDLE
+        if self._transaction.failed:
+            return TransactionState.FAILED
+        return TransactionState.OPEN
+
+    async def serve(self, statement: Statement) -> Answer:
+        """Return the answer to one statement."""
+        started = asyncio.get_running_loop().time()
+        try:
+            answer = await self._serve(statement)
+        except StatementError as exc:
+            detail = exc.detail
+            if exc.retry_after_s is not None:
+                detail = f"{detail}; retry after {int(exc.retry_after_s * 1000)} ms"
+            answer = Answer(failure=exc.failure, detail=detail, state=self.state)
+        took_s = asyncio.get_running_loop().time() - started
+        self._proxy.record(self._session.database, statement, answer, took_s)
+        return answer
+
+    def malformed(self, detail: str) -> Answer:
+        """Return the answer to a message that cannot be read."""
+        return Answer(failure=Failure.MALFORMED, detail=detail, state=self.state)
+
+    def leave(self) -> None:
+        """End what a caller that has left was doing."""
+        if self._transaction is not None:
+            self._transaction.abandon()
+            self._transaction = None
+
+    async def _serve(self, statement: Statement) -> Answer:
+        if self.state is TransactionState.FAILED and statement.verb not in _ENDINGS:
+            raise StatementError(
+                Failure.MALFORMED, "the transaction has failed; end it first"
+            )
+        return await _HANDLERS[statement.verb](self, statement)
+
+    def _route(self) -> tuple[Route, Group]:
+        return self._proxy.route(self._session.database)
+
+    def _done(self) -> Answer:
+        return Answer(state=self.state)
+
+    @_handles(Verb.BEGIN)
+    async def _begin(self, statement: Statement) -> Answer:
+        if self._transaction is not None:
+            raise StatementError(Failure.MALFORMED, "a transaction is open")
+        route, group = self._route()
+        self._transaction = Transaction(
+            self._proxy.runner,
+            self._session,
+            route,
+            group,
+            statement.read_only,
+            self._proxy.config.current.transaction_idle_s,
+        )
+        return self._done()
+
+    @_handles(Verb.COMMIT)
+    async def _commit(self, statement: Statement) -> Answer:
+        transaction, self._transaction = self._transaction, None
+        if transaction is None:
+            raise StatementError(Failure.MALFORMED, "no transaction is open")
+        return await transaction.commit(statement)
+
+    @_handles(Verb.ROLLBACK)
+    async def _roll_back(self, statement: Statement) -> Answer:
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            await transaction.roll_back()
+        return self._done()
+
+    @_handles(Verb.READ, Verb.WRITE, Verb.EXECUTE)
+    async def _run(self, statement: Statement) -> Answer:
+        if self._transaction is not None:
+            self._session.is_read(statement)
+            return await self._transaction.run(statement)
+        route, group = self._route()
+        runner = self._proxy.runner
+        if self._session.is_read(statement):
+            return await runner.read(self._session, route, group, statement)
+        return await runner.write(self._session, route, group, statement)
+
+    @_handles(Verb.SET)
+    async def _set(self, statement: Statement) -> Answer:
+        self._session.set_value(statement)
+        return self._done()
+
+    @_handles(Verb.PREPARE)
+    async def _prepare(self, statement: Statement) -> Answer:
+        self._session.prepare(statement)
+        return self._done()
+
+    @_handles(Verb.DEALLOCATE)
+    async def _deallocate(self, statement: Statement) -> Answer:
+        self._session.deallocate(statement)
+        return self._done()
--- /dev/null
+++ b/src/rosemaryridge/core/_directory.py
@@ -0,0 +1,162 @@
+"""Follow which targets there are."""
+
+import asyncio
+import typing as t
+
+from rosemaryridge.core._config import FleetConfig
+from rosemaryridge.core._event_log import EventLog
+from rosemaryridge.core._group import Group
+from rosemaryridge.core._pool import Pool
+from rosemaryridge.core._target import Target
+from rosemaryridge.core._target_info import TargetInfo
+from rosemaryridge.core.commands import Connect
+from rosemaryridge.core.commands import ConnectFailed
+
+# An entry that lapsed while the store was away is back within two seconds of its
+# return if the target lives.
+_REMOVAL_GRACE_S = 2.5
+# Connections to one target before its service's limit is known.
+_FIRST_LIMIT = 2
+
+
+class Directory:
+    """Hold every group and its targets, as the store lists them."""
+
+    def __init__(
+        self,
+        connect: Connect,
+        log: EventLog,
+        on_trouble: t.Callable[[Group], None],
+        share: t.Callable[[int], int],
+    ):
+        self.groups: dict[str, Group] = {}
+        self.known = False
+        self._connect = connect
+        self._log = log
+        self._on_trouble = on_trouble
+        self._share = share
+        self._limits: t.Mapping[str, int] = {}
+        self._loop = asyncio.get_running_loop()
+
+    def group(self, service: str) -> Group:
+        """Return a service's group, empty where no target is known."""
+        found = self.groups.get(service)
+        if found is None:
+            found = Group(service, self._log, self._on_trouble)
+            self.groups[service] = found
+        return found
+
+    def adopt_limits(self, config: FleetConfig) -> None:
+        """Take over how many connections each target takes."""
+        self._limits = config.connection_limits
+        self.share_changed()
+
+    def share_changed(self) -> None:
+        """Divide each target's connections anew."""
+        for group in self.groups.values():
+            for target in group.targets.values():
+                target.pool.limit = self._limit(group.service)
+
+    def replace(self, infos: t.Iterable[TargetInfo]) -> None:
+        """Take over the whole list of targets."""
+        found = {(info.service, info.id): info for info in infos}
+        for group in self.groups.values():
+            for name in [n for n in group.targets if (group.service, n) not in found]:
+                self.remove(name)
+        for info in found.values():
+            self.put(info)
+        self.known = True
+
+    def put(self, info: TargetInfo) -> None:
+        """Take over one target's registration."""
+        group = self.group(info.service)
+        target = group.targets.get(info.id)
+        if target is not None and not _same_process(target.info, info):
+            self._drop(group, target, "it started again")
+            target = None
+        if target is None:
+            target = self._add(group, info)
+        elif target.info.draining != info.draining:
+            self._log.write(
+                "target_draining", service=info.service, target=info.id, by="store"
+            )
+        target.info = info
+        target.pool.info = info
+        target.removed_at = None
+        target.leaving = info.draining
+        if info.claims_primary:
+            group.claimed(target)
+            if info.draining:
+                group.suspect(target)
+
+    def remove(self, name: str) -> None:
+        """Take in that a target's entry is gone; it may be back soon."""
+        for group in self.groups.values():
+            target = group.targets.get(name)
+            if target is not None and target.removed_at is None:
+                target.removed_at = self._loop.time()
+                self._loop.call_later(_REMOVAL_GRACE_S, self._expire, group, target)
+
+    def _expire(self, group: Group, target: Target) -> None:
+        if group.targets.get(target.id) is not target or target.removed_at is None:
+            return
+        if self._loop.time() - target.removed_at < _REMOVAL_GRACE_S - 0.01:
+            return
+        self._drop(group, target, "its entry is gone")
+
+    def _drop(self, group: Group, target: Target, reason: str) -> None:
+        self._log.write(
+            "target_removed", service=group.service, target=target.id, reason=reason
+        )
+        del group.targets[target.id]
+        target.pool.close()
+        if group.primary == target.id:
+            group.deposed(target)
+
+    def _add(self, group: Group, info: TargetInfo) -> Target:
+        def opened() -> None:
+            target.heard(self._loop.time())
+
+        def failed(exc: ConnectFailed) -> None:
+            self._connect_failed(group, target, exc)
+
+        pool = Pool(info, self._limit(info.service), self._connect, opened, failed)
+        target = Target(info, pool)
+        group.targets[info.id] = target
+        self._log.write(
+            "target_added",
+            service=info.service,
+            target=info.id,
+            endpoint=info.endpoint,
+            claims_primary=info.claims_primary,
+        )
+        pool.warm()
+        return target
+
+    def _connect_failed(
+        self, group: Group, target: Target, exc: ConnectFailed
+    ) -> None:
+        now = self._loop.time()
+        if exc.full:
+            target.heard(now)
+        elif exc.refused or exc.wrong:
+            target.refused(now)
+        else:
+            target.silent(now)
+        self._log.write(
+            "connect_failed",
+            service=group.service,
+            target=target.id,
+            reason=str(exc),
+            open=target.pool.size,
+        )
+        if not exc.full:
+            group.suspect(target)
+
+    def _limit(self, service: str) -> int:
+        total = self._limits.get(service)
+        return _FIRST_LIMIT if total is None else self._share(total)
+
+
+def _same_process(old: TargetInfo, new: TargetInfo) -> bool:
+    return old.started_ms == new.started_ms and old.endpoint == new.endpoint
--- /dev/null
+++ b/src/rosemaryridge/core/_failover.py
@@ -0,0 +1,302 @@
+"""Replace a primary that has failed or is leaving."""
+
+import asyncio
+import dataclasses
+import enum
+import random
+import typing as t
+
+from rosemaryridge.core._event_log import EventLog
+from rosemaryridge.core._group import PING_TIMEOUT_S
+from rosemaryridge.core._group import Group
+from rosemaryridge.core._pool import PoolClosed
+from rosemaryridge.core._statement import TargetCondition
+from rosemaryridge.core._statement import TargetLost
+from rosemaryridge.core._target import Target
+from rosemaryridge.exceptions import FenceRefused
+from rosemaryridge.exceptions import StoreConflict
+from rosemaryridge.exceptions import StoreError
+from rosemaryridge.exceptions import StoreUnavailable
+
+CLAIMS_KIND = "failovers"
+
+# Between two looks at the replicas; other proxies' writes come several times in it.
+_PROGRESS_S = 0.25
+# Another proxy's claim is respected for this long: a slow promotion and its call.
+_CLAIM_S = 2.5
+# A group without any primary that answers is left to those that act for this long.
+_LEADERLESS_S = 1.2
+# How long a promotion may take until the target is seen to lead.
+_PROMOTION_S = 3.0
+_POLL_S = 0.06
+_RETRY_S = 0.3
+# Proxies that see the same failure at the same time start this far apart.
+_SPREAD_S = 0.06
+
+
+class Reason(enum.Enum):
+    """Name why a primary is to be replaced."""
+
+    LEAVING = "leaving"
+    REFUSED = "nothing listens"
+    SILENT = "silent"
+    NONE = "no primary"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Record in the store which proxy replaces the primary of which term."""
+
+    fence: int
+    holder: str
+    term: int
+    target: str
+
+    @classmethod
+    def decode(cls, spec: t.Any) -> "Claim":
+        """Return a stored claim; one that cannot be read counts as none."""
+        try:
+            return cls(
+                int(spec["fence"]), spec["holder"], int(spec["term"]), spec["target"]
+            )
+        except (KeyError, TypeError, ValueError):
+            return NO_CLAIM
+
+
+NO_CLAIM = Claim(0, "", -1, "")
+
+
+class ClaimStore(t.Protocol):
+    """Read and write claims under a condition."""
+
+    async def get(self, kind: str, name: str) -> t.Any:
+        """Return an object; revision 0 where there is none."""
+
+    async def put(self, kind: str, name: str, spec: t.Any, revision: int) -> int:
+        """Write where the revision matches."""
+
+
+class PromotionOrders(t.Protocol):
+    """Order promotions."""
+
+    async def promote(self, service: str, target: str, fence: int) -> None:
+        """Order a promotion; raise FenceRefused or StoreError."""
+
+
+def reason_to_replace(group: Group, now: float) -> Reason | None:
+    """Return why a group needs another primary, from this proxy's evidence."""
+    lead = group.lead
+    if lead is None:
+        return Reason.NONE
+    if lead.refused_at is not None:
+        return Reason.REFUSED
+    if lead.leaving:
+        return Reason.LEAVING
+    if lead.silent_since is not None:
+        return Reason.SILENT
+    return None
+
+
+def best_candidate(
+    group: Group, conditions: t.Mapping[str, TargetCondition]
+) -> Target | None:
+    """Return the replica that has received most, of those that stay."""
+
+    def rank(target: Target) -> tuple:
+        condition = conditions.get(target.id)
+        received = condition.received if condition else target.applied
+        return (condition is not None, received, target.id)
+
+    fit = [
+        target
+        for target in group.targets.values()
+        if target.id != group.primary
+        and not target.leaving
+        and target.removed_at is None
+        and target.refused_at is None
+        and (target.id in conditions or target.silent_since is None)
+    ]
+    return max(fit, key=rank, default=None)
+
+
+class Failover:
+    """Watch over every group's primary and order promotions."""
+
+    def __init__(
+        self,
+        vm: str,
+        store: ClaimStore,
+        orders: PromotionOrders,
+        log: EventLog,
+        rng: random.Random,
+    ):
+        self._vm = vm
+        self._store = store
+        self._orders = orders
+        self._log = log
+        self._rng = rng
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._seen: dict[str, tuple[int, float]] = {}
+        self.stopping = False
+
+    def trouble(self, group: Group) -> None:
+        """Look into a group whose primary may need to be replaced."""
+        task = self._tasks.get(group.service)
+        if self.stopping or task is not None and not task.done():
+            return
+        loop = asyncio.get_running_loop()
+        self._tasks[group.service] = loop.create_task(self._handle(group))
+
+    async def _handle(self, group: Group) -> None:
+        loop = asyncio.get_running_loop()
+        since = loop.time()
+        await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S))
+        while not self.stopping:
+            reason = reason_to_replace(group, loop.time())
+            if reason is None:
+                return
+            waited_s = loop.time() - since
+            if reason is Reason.NONE and waited_s < _LEADERLESS_S:
+                await asyncio.sleep(_POLL_S)
+                continue
+            try:
+                if await self._replace(group, reason):
+                    return
+            except StoreError as exc:
+                self._note(group, reason, f"the platform failed: {exc}")
+            await asyncio.sleep(_RETRY_S * self._rng.uniform(0.7, 1.3))
+
+    async def _replace(self, group: Group, reason: Reason) -> bool:
+        old = group.lead
+        conditions = await self._conditions(group)
+        if reason is Reason.SILENT and not await self._is_dead(group, conditions):
+            return False
+        target = best_candidate(group, conditions)
+        if target is None:
+            self._note(group, reason, "no replica can take over")
+            return False
+        term = max([group.term, *(one.term for one in conditions.values())])
+        fence = await self._claim(group, term, target)
+        if fence is None:
+            return False
+        self._log.write(
+            "promotion_ordered",
+            service=group.service,
+            reason=reason.value,
+            primary=old.id if old else None,
+            term=term,
+            target=target.id,
+            fence=fence,
+            received={name: str(one.received) for name, one in conditions.items()},
+        )
+        return await self._promote(group, target, fence)
+
+    async def _is_dead(
+        self, group: Group, before: t.Mapping[str, TargetCondition]
+    ) -> bool:
+        """Return whether a silent primary is silent for all.
+
+        Replicas that go on receiving show that others still reach it.
+        """
+        lead = group.lead
+        if lead is None:
+            return False
+        await asyncio.sleep(_PROGRESS_S)
+        if await group.check(lead) is not None or lead.silent_since is None:
+            return False
+        after = await self._conditions(group)
+        for name, condition in after.items():
+            earlier = before.get(name)
+            if earlier is not None and condition.received > earlier.received:
+                self._note(group, Reason.SILENT, f"{name} still receives")
+                return False
+        if not after:
+            self._note(group, Reason.SILENT, "no replica answers either")
+        return bool(after)
+
+    async def _conditions(self, group: Group) -> dict[str, TargetCondition]:
+        others = [one for one in group.targets.values() if one is not group.lead]
+        answers = await asyncio.gather(*map(self._condition, others))
+        return {
+            target.id: answer
+            for target, answer in zip(others, answers, strict=True)
+            if answer is not None and not answer.primary
+        }
+
+    async def _condition(self, target: Target) -> TargetCondition | None:
+        deadline = asyncio.get_running_loop().time() + 2 * PING_TIMEOUT_S
+        try:
+            link = await target.pool.acquire(-1, deadline)
+        except (PoolClosed, TimeoutError):
+            return None
+        try:
+            async with asyncio.timeout_at(deadline):
+                condition = await link.ask_condition()
+        except (TargetLost, TimeoutError):
+            target.pool.discard(link)
+            return None
+        target.pool.release(link)
+        return condition
+
+    async def _claim(self, group: Group, term: int, target: Target) -> int | None:
+        """Return the fence of an own claim, None where another proxy acts."""
+        stored = await self._store.get(CLAIMS_KIND, group.service)
+        claim = Claim.decode(stored.spec)
+        if claim.term >= term and self._is_respected(group, stored.revision):
+            return None
+        own = Claim(claim.fence + 1, self._vm, term, target.id)
+        spec = dataclasses.asdict(own)
+        try:
+            revision = await self._store.put(
+                CLAIMS_KIND, group.service, spec, stored.revision
+            )
+        except StoreConflict:
+            return None
+        except StoreUnavailable:
+            # The write may have been made; only what is stored tells.
+            stored = await self._store.get(CLAIMS_KIND, group.service)
+            if Claim.decode(stored.spec) != own:
+                return None
+            revision = stored.revision
+        self._seen[group.service] = (revision, asyncio.get_running_loop().time())
+        return own.fence
+
+    def _is_respected(self, group: Group, revision: int) -> bool:
+        now = asyncio.get_running_loop().time()
+        known, since = self._seen.get(group.service, (0, 0.0))
+        if known != revision:
+            self._seen[group.service] = (revision, now)
+            return True
+        return now - since < _CLAIM_S
+
+    async def _promote(self, group: Group, target: Target, fence: int) -> bool:
+        try:
+            await self._orders.promote(group.service, target.id, fence)
+        except FenceRefused:
+            self._note(group, None, f"the promotion of {target.id} was refused")
+            return False
+        except StoreError as exc:
+            self._note(group, None, f"the promotion of {target.id}: {exc}")
+        return await self._await_lead(group, target)
+
+    async def _await_lead(self, group: Group, target: Target) -> bool:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + _PROMOTION_S
+        while loop.time() < until:
+            if group.primary == target.id and group.term > 0:
+                return True
+            if await group.check(target):
+                return True
+            await asyncio.sleep(_POLL_S)
+        self._note(group, None, f"{target.id} does not lead yet")
+        return False
+
+    def _note(self, group: Group, reason: Reason | None, text: str) -> None:
+        self._log.write(
+            "promotion_held",
+            service=group.service,
+            reason=reason.value if reason else None,
+            primary=group.primary,
+            term=group.term,
+            why=text,
+        )
--- /dev/null
+++ b/src/rosemaryridge/core/_follower.py
@@ -0,0 +1,92 @@
+"""Follow one kind of objects in the store."""
+
+import asyncio
+import random
+import typing as t
+
+from rosemaryridge.core._event_log import EventLog
+from rosemaryridge.exceptions import StoreError
+from rosemaryridge.exceptions import StoreHistoryGone
+from rosemaryridge.exceptions import StoreLimited
+
+# A watch that waits longer saves calls; TCP's own probes find a dead connection.
+_WATCH_WAIT_S = 25.0
+# How soon a failed call is repeated; what changed meanwhile must be in force within
+# seconds of the store's return.
+_RETRY_MIN_S = 0.1
+_RETRY_MAX_S = 0.8
+
+
+class WatchedStore(t.Protocol):
+    """List and watch objects of a kind."""
+
+    async def list(self, kind: str) -> t.Any:
+        """Return every object of a kind and the store's revision."""
+
+    async def watch(self, kind: str, revision: int, wait_s: float) -> t.Any:
+        """Return the changes after a revision and the next revision."""
+
+
+class Follower:
+    """Hand over every object of a kind, then each change, through outages."""
+
+    def __init__(
+        self,
+        store: WatchedStore,
+        kind: str,
+        on_list: t.Callable[[t.Sequence[t.Any]], None],
+        on_change: t.Callable[[t.Any], None],
+        log: EventLog,
+        rng: random.Random,
+    ):
+        self.reachable = False
+        self._store = store
+        self._kind = kind
+        self._on_list = on_list
+        self._on_change = on_change
+        self._log = log
+        self._rng = rng
+        self._revision: int | None = None
+        self._retry_s = _RETRY_MIN_S
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except StoreHistoryGone as exc:
+                self._log.write("store_history_gone", kind=self._kind, reason=str(exc))
+                self._revision = None
+            except StoreError as exc:
+                await self._failed(exc)
+            else:
+                self._succeeded()
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            listing = await self._store.list(self._kind)
+            self._revision = listing.revision
+            self._on_list(listing.objects)
+            return
+        changes, revision = await self._store.watch(
+            self._kind, self._revision, _WATCH_WAIT_S
+        )
+        self._revision = revision
+        for change in changes:
+            self._on_change(change)
+
+    def _succeeded(self) -> None:
+        self._retry_s = _RETRY_MIN_S
+        if not self.reachable:
+            self.reachable = True
+            self._log.write("store_reached", kind=self._kind, revision=self._revision)
+
+    async def _failed(self, exc: StoreError) -> None:
+        if self.reachable:
+            self.reachable = False
+            self._log.write("store_lost", kind=self._kind, reason=str(exc))
+        delay_s = self._retry_s
+        if isinstance(exc, StoreLimited):
+            delay_s = max(delay_s, exc.retry_after_s)
+        self._retry_s = min(_RETRY_MAX_S, 2 * self._retry_s)
+        await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.0))
--- a/src/rosemaryridge/routing/_freshness.py
+++ b/src/rosemaryridge/core/_freshness.py
@@ -41,6 +41,21 @@
             return float("inf")
         return max(0.0, now - self._times[index])
 
+    def newest_time(self) -> float:
+        """Return when the newest position was asked for."""
+        return self._times[-1] if self._times else float("-inf")
+
+    def position_since(self, time: float) -> tuple[Position, float] | None:
+        """Return the oldest position asked for at a time or later, with its time.
+
+        A log that holds it holds every commit acknowledged before that time; None
+        where nothing was observed since.
+        """
+        index = bisect.bisect_left(self._times, time)
+        if index == len(self._times):
+            return None
+        return self._positions[index], self._times[index]
+
     def lag_s(self, applied: Position, now: float) -> float:
         """Return for how long at least a replica has been behind, in seconds."""
         index = bisect.bisect_right(self._positions, applied)
--- /dev/null
+++ b/src/rosemaryridge/core/_group.py
@@ -0,0 +1,221 @@
+"""Know one group's targets, who leads it and how far its log is."""
+
+import asyncio
+import typing as t
+
+from rosemaryridge.core._boottime import boottime
+from rosemaryridge.core._event_log import EventLog
+from rosemaryridge.core._freshness import PrimaryHistory
+from rosemaryridge.core._statement import Answer
+from rosemaryridge.core._statement import Failure
+from rosemaryridge.core._statement import StatementError
+from rosemaryridge.core._statement import TargetLost
+from rosemaryridge.core._target import Target
+from rosemaryridge.core.commands import Begin
+from rosemaryridge.core.commands import Link
+from rosemaryridge.core.commands import Rollback
+from rosemaryridge.model import Position
+from rosemaryridge.core._pool import PoolClosed
+
+# Opening a transaction takes no slot, so a healthy target answers within two
+# network delays; the longest known is 40 ms.
+PING_TIMEOUT_S = 0.25
+# While no primary is known the targets are asked this often.
+_SEARCH_PERIOD_S = 0.08
+# How much older a position may look than it is: the clocks' grain and a timer.
+_AGE_MARGIN_S = 0.05
+# A fresh position is asked for once the newest is this share of the bound old.
+_REFRESH_SHARE = 0.6
+_PING_PRIORITY = -1
+
+
+class Group:
+    """Hold the targets of one service and the evidence about its primary."""
+
+    def __init__(
+        self, service: str, log: EventLog, on_trouble: t.Callable[["Group"], None]
+    ):
+        self.service = service
+        self.targets: dict[str, Target] = {}
+        self.primary: str | None = None
+        self.term = 0
+        self._log = log
+        self._on_trouble = on_trouble
+        self._history = PrimaryHistory()
+        self._loop = asyncio.get_running_loop()
+        self._found: asyncio.Future[None] | None = None
+        self._search: asyncio.Task[None] | None = None
+        self._refresh: asyncio.Task[None] | None = None
+        self._pings: set[asyncio.Task[t.Any]] = set()
+
+    @property
+    def lead(self) -> Target | None:
+        """Return the target that is taken for the primary."""
+        return self.targets.get(self.primary) if self.primary else None
+
+    def proved(self, target: Target, position: Position | None, sent_at: float) -> None:
+        """Take in that a target led after `sent_at`, at a position of its log."""
+        if position is None or position.term < self.term:
+            return
+        if target.id != self.primary or position.term != self.term:
+            self._take_lead(target, position.term)
+        self._history.observe(position, sent_at)
+        target.applied = max(target.applied, position)
+
+    def claimed(self, target: Target) -> None:
+        """Take in that a target says that it leads; proof may tell otherwise."""
+        if self.primary is None or self.primary not in self.targets:
+            self.primary = target.id
+            self._wake()
+        elif target.id != self.primary:
+            self._watch_over(self.check(target))
+
+    def deposed(self, target: Target) -> None:
+        """Take in that a target answered that it does not lead."""
+        if target.id == self.primary:
+            self._log.write(
+                "primary_lost", service=self.service, target=target.id, term=self.term
+            )
+            self.primary = None
+            self._start_search()
+
+    def suspect(self, target: Target) -> None:
+        """Take in that the primary may be down."""
+        if target.id == self.primary:
+            self._on_trouble(self)
+
+    def _take_lead(self, target: Target, term: int) -> None:
+        self._log.write(
+            "primary_found",
+            service=self.service,
+            target=target.id,
+            term=term,
+            before=self.primary,
+            before_term=self.term,
+        )
+        self.primary = target.id
+        if term != self.term:
+            self.term = term
+            self._history = PrimaryHistory()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._found is not None and not self._found.done():
+            self._found.set_result(None)
+
+    async def wait_for_lead(self, deadline: float) -> Target:
+        """Return the primary; raise StatementError at the deadline."""
+        while (lead := self.lead) is None or lead.refused_at is not None:
+            self._start_search()
+            if self._found is None or self._found.done():
+                self._found = self._loop.create_future()
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await asyncio.shield(self._found)
+            except TimeoutError:
+                raise StatementError(
+                    Failure.BUSY, f"{self.service} has no primary", 1.0
+                ) from None
+        return lead
+
+    def _start_search(self) -> None:
+        if self._search is None or self._search.done():
+            self._search = self._loop.create_task(self._find())
+
+    async def _find(self) -> None:
+        self._on_trouble(self)
+        while True:
+            lead = self.lead
+            if lead is not None and lead.refused_at is None:
+                return
+            usable = list(self.targets.values())
+            if usable:
+                await asyncio.wait(
+                    [self._watch_over(self.check(one)) for one in usable],
+                    timeout=_SEARCH_PERIOD_S,
+                )
+            await asyncio.sleep(_SEARCH_PERIOD_S)
+
+    def _watch_over(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> asyncio.Task:
+        task = self._loop.create_task(work)
+        self._pings.add(task)
+        task.add_done_callback(self._pings.discard)
+        return task
+
+    async def check(self, target: Target) -> bool | None:
+        """Ask whether a target leads; None where it does not answer.
+
+        An empty transaction proves the lead and tells the position at no slot.
+        """
+        deadline = self._loop.time() + PING_TIMEOUT_S
+        try:
+            link = await target.pool.acquire(_PING_PRIORITY, deadline)
+        except PoolClosed:
+            return None
+        except TimeoutError:
+            if target.pool.lent == 0:
+                target.silent(self._loop.time())
+                self.suspect(target)
+            return None
+        return await self._ping(target, link, deadline)
+
+    async def _ping(self, target: Target, link: Link, deadline: float) -> bool | None:
+        sent_at = boottime()
+        begun, ended = link.send(Begin(), Rollback())
+        try:
+            async with asyncio.timeout_at(deadline):
+                answer = await begun
+                await ended
+        except (TargetLost, TimeoutError) as exc:
+            target.pool.discard(link)
+            if isinstance(exc, TimeoutError):
+                target.silent(self._loop.time())
+            self.suspect(target)
+            return None
+        target.pool.release(link)
+        target.heard(self._loop.time())
+        return self.take_begin(target, answer, sent_at)
+
+    def take_begin(self, target: Target, answer: Answer, sent_at: float) -> bool | None:
+        """Take in a target's answer to a plain BEGIN; return whether it leads."""
+        if answer.ok:
+            self.proved(target, answer.position, sent_at)
+            return True
+        if answer.failure is Failure.READ_ONLY:
+            self.deposed(target)
+            return False
+        return None
+
+    async def floor(self, max_age_s: float, deadline: float) -> tuple[Position, float]:
+        """Return a position that bounds the age of data, and its own age.
+
+        A log that holds it misses no commit acknowledged longer ago than
+        `max_age_s`. Raises StatementError.
+        """
+        while True:
+            now = boottime()
+            found = self._history.position_since(now - max_age_s + _AGE_MARGIN_S)
+            if found is not None:
+                newest = self._history.newest_time()
+                if now - newest > _REFRESH_SHARE * max_age_s:
+                    self._start_refresh()
+                return found[0], now - found[1]
+            await self.wait_for_lead(deadline)
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await asyncio.shield(self._start_refresh())
+            except TimeoutError:
+                raise StatementError(
+                    Failure.BUSY, f"{self.service}: the age of data is unknown", 0.5
+                ) from None
+
+    def _start_refresh(self) -> "asyncio.Task[None]":
+        if self._refresh is None or self._refresh.done():
+            self._refresh = self._loop.create_task(self._ask_position())
+        return self._refresh
+
+    async def _ask_position(self) -> None:
+        lead = self.lead
+        if lead is None or await self.check(lead) is None:
+            # Without an answer the next try must not follow at once.
+            await asyncio.sleep(_SEARCH_PERIOD_S)
--- /dev/null
+++ b/src/rosemaryridge/core/_proxy.py
@@ -0,0 +1,111 @@
+"""Wire the parts that serve statements."""
+
+import asyncio
+import random
+import typing as t
+
+from rosemaryridge.core._caller import Caller
+from rosemaryridge.core._config import ConfigHolder
+from rosemaryridge.core._config import FleetConfig
+from rosemaryridge.core._config import Route
+from rosemaryridge.core._directory import Directory
+from rosemaryridge.core._event_log import EventLog
+from rosemaryridge.core._group import Group
+from rosemaryridge.core._runner import Runner
+from rosemaryridge.core._session import PreparedNames
+from rosemaryridge.core._statement import Answer
+from rosemaryridge.core._statement import Failure
+from rosemaryridge.core._statement import Statement
+from rosemaryridge.core._statement import StatementError
+from rosemaryridge.core.commands import Connect
+
+# A caller that opens a session gives up after 2 s without an answer.
+_OPEN_WAIT_S = 1.8
+# Proxies that a target's connections are divided among before more is known.
+_FIRST_PROXIES = 16
+# Connections of proxies that died without a word are dropped after 3 s; this part
+# of the limit is kept free for them and for those that start.
+_SPARE_SHARE = 0.1
+
+
+class Proxy:
+    """Be the one object that holds every part of the data path."""
+
+    def __init__(
+        self,
+        failure_domain: str,
+        connect: Connect,
+        rng: random.Random,
+        log: EventLog,
+        on_trouble: t.Callable[[Group], None],
+    ):
+        self.log = log
+        self.config = ConfigHolder()
+        self.proxies = _FIRST_PROXIES
+        self.directory = Directory(connect, log, on_trouble, self._share)
+        self.runner = Runner(failure_domain, rng, PreparedNames(), log)
+        self._ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    @property
+    def ready(self) -> bool:
+        """Return whether configuration and targets are known."""
+        return self.config.known and self.directory.known
+
+    def adopt_config(self, config: FleetConfig) -> None:
+        """Take over a configuration if it is newer."""
+        if not self.config.offer(config):
+            return
+        self.log.write(
+            "config_adopted", version=config.version, routes=len(config.routes)
+        )
+        self.directory.adopt_limits(config)
+        self.check_ready()
+
+    def check_ready(self) -> None:
+        """Let callers in once all is known."""
+        if self.ready and not self._ready.done():
+            self.log.write("ready", version=self.config.current.version)
+            self._ready.set_result(None)
+
+    async def open(self, database: bytes) -> Caller:
+        """Return a new session; raise StatementError."""
+        if not self._ready.done():
+            try:
+                async with asyncio.timeout(_OPEN_WAIT_S):
+                    await asyncio.shield(self._ready)
+            except TimeoutError:
+                raise StatementError(
+                    Failure.BUSY, "the configuration is not known yet", 1.0
+                ) from None
+        self.route(database)
+        return Caller(self, database)
+
+    def route(self, database: bytes) -> tuple[Route, Group]:
+        """Return a database's route and group; raise StatementError."""
+        route = self.config.current.routes.get(database)
+        if route is None:
+            name = database.decode(errors="replace")
+            raise StatementError(Failure.UNKNOWN_DATABASE, f"no route for {name}")
+        return route, self.directory.group(route.service)
+
+    def record(
+        self, database: bytes, statement: Statement, answer: Answer, took_s: float
+    ) -> None:
+        """Write what became of a statement where it is not plain."""
+        route = self.config.current.routes.get(database)
+        slow = route is not None and took_s > route.latency_target_s
+        if answer.ok and not slow:
+            return
+        self.log.write(
+            "statement",
+            id=statement.id,
+            database=database,
+            verb=statement.verb.value,
+            outcome=answer.failure.value if answer.failure else "slow",
+            detail=answer.detail,
+            took_ms=round(took_s * 1000),
+            config=self.config.current.version,
+        )
+
+    def _share(self, connections: int) -> int:
+        return max(1, int(connections * (1.0 - _SPARE_SHARE) / self.proxies))
--- /dev/null
+++ b/src/rosemaryridge/core/_runner.py
@@ -0,0 +1,427 @@
+"""Run single statements on targets, again elsewhere only where that is safe."""
+
+import asyncio
+import random
+
+from rosemaryridge.core._boottime import boottime
+from rosemaryridge.core._config import Consistency
+from rosemaryridge.core._config import Route
+from rosemaryridge.core._event_log import EventLog
+from rosemaryridge.core._group import Group
+from rosemaryridge.core._placement import ReadNeed
+from rosemaryridge.core._placement import choose_for_read
+from rosemaryridge.core._pool import PoolClosed
+from rosemaryridge.core._session import PreparedNames
+from rosemaryridge.core._session import Session
+from rosemaryridge.core._session import needed_position
+from rosemaryridge.core._statement import NOT_RUN
+from rosemaryridge.core._statement import Answer
+from rosemaryridge.core._statement import Failure
+from rosemaryridge.core._statement import Statement
+from rosemaryridge.core._statement import StatementError
+from rosemaryridge.core._statement import TargetLost
+from rosemaryridge.core._statement import TransactionState
+from rosemaryridge.core._target import Target
+from rosemaryridge.core.commands import Begin
+from rosemaryridge.core.commands import Link
+from rosemaryridge.core.commands import Rollback
+from rosemaryridge.core.commands import Run
+from rosemaryridge.model import Position
+
+# A full or lagging target is asked again after this, doubled each time.
+_RETRY_MIN_S = 0.03
+_RETRY_MAX_S = 0.24
+# A read that has waited this long is sent to another target as well; the work of
+# most reads ends within 300 ms.
+_SECOND_TRY_S = 0.4
+# A primary that owes an answer for this long is asked whether it lives.
+_CHECK_AFTER_S = 0.15
+# A link whose answer nobody waits for any more is given up after this.
+_ABANDONED_S = 5.0
+
+# Failures after which another target, or the same one later, may do better.
+_REPEATABLE = NOT_RUN
+
+
+class Runner:
+    """Carry statements to the targets of their group."""
+
+    def __init__(
+        self,
+        failure_domain: str,
+        rng: random.Random,
+        names: PreparedNames,
+        log: EventLog,
+    ):
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._names = names
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def read(
+        self, session: Session, route: Route, group: Group, statement: Statement
+    ) -> Answer:
+        """Return a read's answer; raise StatementError."""
+        deadline = self._loop.time() + route.timeout_s
+        if route.consistency is Consistency.PRIMARY:
+            return await self._read_on_primary(
+                session, route, group, statement, deadline
+            )
+        return await self._read_anywhere(session, route, group, statement, deadline)
+
+    async def write(
+        self, session: Session, route: Route, group: Group, statement: Statement
+    ) -> Answer:
+        """Return a write's answer; raise StatementError.
+
+        The write is sent again only after an answer that says it has not run.
+        """
+        deadline = self._loop.time() + route.timeout_s
+        retry_s = _RETRY_MIN_S
+        while True:
+            target = await group.wait_for_lead(deadline)
+            link = await self.link(group, target, route, deadline)
+            if link is None:
+                await self.pause(retry_s, deadline, "the primary cannot be reached")
+                retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+                continue
+            answer = await self._write_once(
+                session, group, target, link, statement, deadline
+            )
+            if answer.failure not in _REPEATABLE:
+                return answer
+            self._log.write(
+                "write_refused",
+                id=statement.id,
+                service=group.service,
+                target=target.id,
+                reason=answer.failure.value,
+            )
+            await self.pause(retry_s, deadline, answer.detail, answer.failure)
+            retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+
+    async def _write_once(
+        self,
+        session: Session,
+        group: Group,
+        target: Target,
+        link: Link,
+        statement: Statement,
+        deadline: float,
+    ) -> Answer:
+        sent_at = boottime()
+        try:
+            answer = await self.exchange(
+                session, group, target, link, statement, deadline
+            )
+        except TargetLost as exc:
+            target.pool.discard(link)
+            raise StatementError(
+                Failure.UNKNOWN_OUTCOME, f"{target.id} was lost: {exc}"
+            ) from None
+        except TimeoutError:
+            target.pool.discard(link)
+            raise StatementError(
+                Failure.UNKNOWN_OUTCOME, f"{target.id} gave no answer in time"
+            ) from None
+        self.settle(group, target, link, answer)
+        if answer.ok and answer.position is not None:
+            group.proved(target, answer.position, sent_at)
+            session.written = answer.position
+        return answer
+
+    async def link(
+        self, group: Group, target: Target, route: Route, deadline: float
+    ) -> Link | None:
+        """Return a connection to a target, None where it cannot be reached."""
+        try:
+            return await target.pool.acquire(route.priority, deadline)
+        except PoolClosed:
+            return None
+        except TimeoutError:
+            raise StatementError(
+                Failure.BUSY, f"no connection to {target.id} came free", 0.2
+            ) from None
+
+    async def exchange(
+        self,
+        session: Session,
+        group: Group,
+        target: Target,
+        link: Link,
+        statement: Statement,
+        deadline: float,
+        after: Position | None = None,
+    ) -> Answer:
+        """Run a statement on a connection; raise TargetLost or TimeoutError."""
+        preamble, name = session.preamble(link, statement, self._names)
+        *before, fut = link.send(*preamble, Run(statement, after, name))
+        started = self._loop.time()
+        target.outstanding += 1
+        check = self._loop.call_later(_CHECK_AFTER_S, self._check, group, target)
+        try:
+            async with asyncio.timeout_at(deadline):
+                answer = await fut
+        finally:
+            target.outstanding -= 1
+            check.cancel()
+        for one in before:
+            if not (await one).ok:
+                link.close()
+        now = self._loop.time()
+        target.heard(now)
+        if answer.failure is Failure.BUSY:
+            target.full(now)
+        elif answer.failure not in NOT_RUN:
+            target.answered(now - started, now)
+        return answer
+
+    def settle(self, group: Group, target: Target, link: Link, answer: Answer) -> None:
+        """Give a connection back and learn from a refusal."""
+        if answer.failure is Failure.READ_ONLY:
+            group.deposed(target)
+        if answer.failure is Failure.UNKNOWN_STATEMENT:
+            link.prepared.clear()
+        if answer.state is TransactionState.IDLE:
+            target.pool.release(link)
+        else:
+            target.pool.discard(link)
+
+    def _check(self, group: Group, target: Target) -> None:
+        if target.id == group.primary:
+            self.spawn(group.check(target))
+
+    def spawn(self, work) -> asyncio.Task:
+        """Run work that nobody waits for."""
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def pause(
+        self,
+        delay_s: float,
+        deadline: float,
+        reason: str,
+        failure: Failure = Failure.BUSY,
+    ) -> None:
+        """Wait before another try; raise StatementError where none would fit."""
+        delay_s *= self._rng.uniform(0.7, 1.3)
+        if self._loop.time() + delay_s >= deadline:
+            if failure not in (Failure.BUSY, Failure.READ_ONLY, Failure.LAGGING):
+                failure = Failure.BUSY
+            raise StatementError(failure, reason, 0.2)
+        await asyncio.sleep(delay_s)
+
+    async def _read_on_primary(
+        self,
+        session: Session,
+        route: Route,
+        group: Group,
+        statement: Statement,
+        deadline: float,
+    ) -> Answer:
+        retry_s = _RETRY_MIN_S
+        while True:
+            target = await group.wait_for_lead(deadline)
+            link = await self.link(group, target, route, deadline)
+            reason, failure = "the primary cannot be reached", Failure.BUSY
+            if link is not None:
+                answer = await self._guarded(
+                    session, group, target, link, statement, deadline
+                )
+                if answer is not None and answer.failure not in _REPEATABLE:
+                    return answer
+                if answer is not None:
+                    reason, failure = answer.detail, answer.failure
+            await self.pause(retry_s, deadline, reason, failure)
+            retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+
+    async def _guarded(
+        self,
+        session: Session,
+        group: Group,
+        target: Target,
+        link: Link,
+        statement: Statement,
+        deadline: float,
+    ) -> Answer | None:
+        # A deposed primary answers a plain read from its old log; in a transaction
+        # it refuses.
+        try:
+            answer = await self.begin(group, target, link, deadline)
+            if not answer.ok:
+                self.settle(group, target, link, answer)
+                return answer
+            answer = await self.exchange(
+                session, group, target, link, statement, deadline
+            )
+        except TargetLost:
+            target.pool.discard(link)
+            group.suspect(target)
+            return None
+        except TimeoutError:
+            target.pool.discard(link)
+            raise StatementError(
+                Failure.TIMEOUT, f"{target.id} gave no answer in time"
+            ) from None
+        if answer.failure is Failure.READ_ONLY:
+            group.deposed(target)
+        self.spawn(self.roll_back(target, link))
+        return _idle(answer)
+
+    async def begin(
+        self,
+        group: Group,
+        target: Target,
+        link: Link,
+        deadline: float,
+        read_only: bool = False,
+        after: Position | None = None,
+    ) -> Answer:
+        """Open a transaction; raise TargetLost or TimeoutError."""
+        sent_at = boottime()
+        (fut,) = link.send(Begin(read_only, after))
+        check = self._loop.call_later(_CHECK_AFTER_S, self._check, group, target)
+        try:
+            async with asyncio.timeout_at(deadline):
+                answer = await fut
+        finally:
+            check.cancel()
+        target.heard(self._loop.time())
+        if not read_only:
+            group.take_begin(target, answer, sent_at)
+        return answer
+
+    async def roll_back(self, target: Target, link: Link) -> None:
+        """End a transaction and give the connection back."""
+        (fut,) = link.send(Rollback())
+        try:
+            async with asyncio.timeout(_ABANDONED_S):
+                answer = await fut
+        except (TargetLost, TimeoutError):
+            target.pool.discard(link)
+            return
+        if answer.state is TransactionState.IDLE:
+            target.pool.release(link)
+        else:
+            target.pool.discard(link)
+
+    async def _read_anywhere(
+        self,
+        session: Session,
+        route: Route,
+        group: Group,
+        statement: Statement,
+        deadline: float,
+    ) -> Answer:
+        tried: set[str] = set()
+        retry_s = _RETRY_MIN_S
+        running: set[asyncio.Task[Answer | None]] = set()
+        last = (Failure.BUSY, "no target could be reached")
+        while True:
+            need = await self.need(session, route, group, deadline)
+            target = self.choose(group, need, tried)
+            if target is None and not running:
+                tried.clear()
+                await self.pause(retry_s, deadline, last[1], last[0])
+                retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+                continue
+            if target is not None:
+                tried.add(target.id)
+                running.add(
+                    self.spawn(
+                        self._try_read(
+                            session, route, group, target, need, statement, deadline
+                        )
+                    )
+                )
+            left_s = deadline - self._loop.time()
+            wait_s = left_s if target is None else min(left_s, _SECOND_TRY_S)
+            done, running = await asyncio.wait(
+                running, timeout=max(0.0, wait_s), return_when="FIRST_COMPLETED"
+            )
+            for task in done:
+                answer = task.result()
+                if answer is not None and answer.failure not in _REPEATABLE:
+                    return answer
+                if answer is not None:
+                    last = (answer.failure, answer.detail)
+            if self._loop.time() >= deadline:
+                if running:
+                    raise StatementError(Failure.TIMEOUT, "no target answered in time")
+                raise StatementError(last[0], last[1], 0.2)
+
+    async def _try_read(
+        self,
+        session: Session,
+        route: Route,
+        group: Group,
+        target: Target,
+        need: ReadNeed,
+        statement: Statement,
+        deadline: float,
+    ) -> Answer | None:
+        try:
+            link = await self.link(group, target, route, deadline)
+        except StatementError as exc:
+            return Answer(failure=exc.failure, detail=exc.detail)
+        if link is None:
+            return None
+        patience = max(deadline, self._loop.time() + _ABANDONED_S)
+        try:
+            answer = await self.exchange(
+                session, group, target, link, statement, patience, need.position
+            )
+        except (TargetLost, TimeoutError):
+            target.pool.discard(link)
+            group.suspect(target)
+            return None
+        self.learn(target, need, answer)
+        if answer.state is TransactionState.IDLE:
+            target.pool.release(link)
+        else:
+            target.pool.discard(link)
+        return answer
+
+    def learn(self, target: Target, need: ReadNeed, answer: Answer) -> None:
+        """Take in whether a target's log held what a read needs."""
+        if answer.failure is Failure.LAGGING:
+            target.lacked(need.age_s)
+        elif answer.ok:
+            target.held(need.age_s, need.position)
+
+    def choose(self, group: Group, need: ReadNeed, tried: set[str]) -> Target | None:
+        """Return the target that should answer a read."""
+        return choose_for_read(
+            tuple(group.targets.values()),
+            group.primary,
+            need,
+            self._failure_domain,
+            tried,
+            self._loop.time(),
+            self._rng,
+        )
+
+    async def need(
+        self, session: Session, route: Route, group: Group, deadline: float
+    ) -> ReadNeed:
+        """Return what a read's target must hold; raise StatementError."""
+        floor = await group.floor(route.max_age_s, deadline)
+        if route.consistency is Consistency.SESSION:
+            floor = needed_position(session, route, floor)
+        return ReadNeed(*floor)
+
+
+def _idle(answer: Answer) -> Answer:
+    """Return an answer as a caller outside a transaction sees it."""
+    return Answer(
+        answer.rows,
+        answer.signature,
+        answer.failure,
+        answer.detail,
+        TransactionState.IDLE,
+        answer.position,
+    )
--- /dev/null
+++ b/src/rosemaryridge/core/_transaction.py
@@ -0,0 +1,262 @@
+"""Keep one caller's transaction on one connection."""
+
+import asyncio
+
+from rosemaryridge.core._boottime import boottime
+from rosemaryridge.core._config import Consistency
+from rosemaryridge.core._config import Route
+from rosemaryridge.core._group import Group
+from rosemaryridge.core._runner import Runner
+from rosemaryridge.core._session import Session
+from rosemaryridge.core._statement import NOT_RUN
+from rosemaryridge.core._statement import Answer
+from rosemaryridge.core._statement import Failure
+from rosemaryridge.core._statement import Statement
+from rosemaryridge.core._statement import StatementError
+from rosemaryridge.core._statement import TargetLost
+from rosemaryridge.core._statement import TransactionState
+from rosemaryridge.core._target import Target
+from rosemaryridge.core.commands import Link
+
+_RETRY_MIN_S = 0.03
+_RETRY_MAX_S = 0.24
+
+
+class Transaction:
+    """Run a transaction's statements; its connection is opened ahead.
+
+    What fails before COMMIT is sent keeps nothing, since a target rolls back a
+    transaction whose connection ends.
+    """
+
+    def __init__(
+        self,
+        runner: Runner,
+        session: Session,
+        route: Route,
+        group: Group,
+        read_only: bool,
+        idle_s: float,
+    ):
+        self.failed = False
+        self._runner = runner
+        self._session = session
+        self._route = route
+        self._group = group
+        self._anywhere = read_only and route.consistency is not Consistency.PRIMARY
+        self._idle_s = idle_s
+        self._loop = asyncio.get_running_loop()
+        self._target: Target | None = None
+        self._link: Link | None = None
+        self._expired = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._opening: asyncio.Task[None] = runner.spawn(self._open())
+        self._wait_for_caller()
+
+    async def run(self, statement: Statement) -> Answer:
+        """Return a statement's answer; raise StatementError."""
+        self._caller_came()
+        deadline = self._loop.time() + self._route.timeout_s
+        try:
+            answer = await self._run(statement, deadline)
+        except StatementError:
+            self._fail()
+            raise
+        if answer.state is not TransactionState.OPEN:
+            self._fail()
+            return _with_state(answer, TransactionState.FAILED)
+        self._wait_for_caller()
+        return answer
+
+    async def _run(self, statement: Statement, deadline: float) -> Answer:
+        target, link = await self._opened(deadline)
+        retry_s = _RETRY_MIN_S
+        while True:
+            answer = await self._exchange(target, link, statement, deadline)
+            if answer.failure is Failure.READ_ONLY:
+                self._group.deposed(target)
+            again = answer.failure in NOT_RUN
+            if not again or answer.state is not TransactionState.OPEN:
+                return answer
+            if answer.failure is Failure.UNKNOWN_STATEMENT:
+                link.prepared.clear()
+            await self._runner.pause(retry_s, deadline, answer.detail)
+            retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+
+    async def _exchange(
+        self, target: Target, link: Link, statement: Statement, deadline: float
+    ) -> Answer:
+        try:
+            return await self._runner.exchange(
+                self._session, self._group, target, link, statement, deadline
+            )
+        except TargetLost as exc:
+            self._group.suspect(target)
+            raise StatementError(Failure.ABORTED, f"{target.id}: {exc}", 0.1) from None
+        except TimeoutError:
+            raise StatementError(
+                Failure.ABORTED, f"{target.id} gave no answer in time", 0.1
+            ) from None
+
+    async def commit(self, statement: Statement) -> Answer:
+        """Return COMMIT's answer; raise StatementError."""
+        self._caller_came()
+        if self.failed:
+            await self.roll_back()
+            raise StatementError(Failure.ABORTED, "the transaction had failed", 0.1)
+        deadline = self._loop.time() + self._route.timeout_s
+        try:
+            return await self._commit(statement, deadline)
+        except StatementError:
+            self._fail()
+            raise
+
+    async def _commit(self, statement: Statement, deadline: float) -> Answer:
+        target, link = await self._opened(deadline)
+        retry_s = _RETRY_MIN_S
+        while True:
+            sent_at = boottime()
+            answer = await self._send_commit(target, link, statement, deadline)
+            if answer.failure not in NOT_RUN or (
+                answer.state is not TransactionState.OPEN
+            ):
+                break
+            await self._runner.pause(retry_s, deadline, answer.detail)
+            retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+        self._take_result(answer, target, sent_at)
+        self._target = self._link = None
+        self._runner.settle(self._group, target, link, answer)
+        return _with_state(answer, TransactionState.IDLE)
+
+    def _take_result(self, answer: Answer, target: Target, sent_at: float) -> None:
+        if answer.ok and answer.position is not None and not self._anywhere:
+            self._group.proved(target, answer.position, sent_at)
+            self._session.written = answer.position
+
+    async def _send_commit(
+        self, target: Target, link: Link, statement: Statement, deadline: float
+    ) -> Answer:
+        try:
+            return await self._runner.exchange(
+                self._session, self._group, target, link, statement, deadline
+            )
+        except (TargetLost, TimeoutError) as exc:
+            self._group.suspect(target)
+            reason = str(exc) or "no answer in time"
+            raise StatementError(
+                Failure.UNKNOWN_OUTCOME, f"{target.id} at COMMIT: {reason}"
+            ) from None
+
+    async def roll_back(self) -> None:
+        """End the transaction without a change."""
+        self._caller_came()
+        self._fail()
+
+    def abandon(self) -> None:
+        """End the transaction of a caller that has left."""
+        self._caller_came()
+        self._fail()
+
+    def _fail(self) -> None:
+        self.failed = True
+        if not self._opening.done():
+            self._opening.add_done_callback(lambda _: self._give_back())
+        else:
+            self._give_back()
+
+    def _give_back(self) -> None:
+        target, link = self._target, self._link
+        self._target = self._link = None
+        if target is None or link is None:
+            return
+        if link.busy or link.closed:
+            # A statement may still run; the target rolls back what it did.
+            target.pool.discard(link)
+            return
+        self._runner.spawn(self._runner.roll_back(target, link))
+
+    async def _opened(self, deadline: float) -> tuple[Target, Link]:
+        if self._expired:
+            raise StatementError(Failure.ABORTED, "the transaction was idle too long")
+        try:
+            async with asyncio.timeout_at(deadline):
+                await asyncio.shield(self._opening)
+        except TimeoutError:
+            raise StatementError(Failure.BUSY, "no target came free", 0.2) from None
+        if self._target is None or self._link is None:
+            raise StatementError(Failure.ABORTED, "the transaction's target is gone")
+        return self._target, self._link
+
+    async def _open(self) -> None:
+        deadline = self._loop.time() + self._route.timeout_s
+        tried: set[str] = set()
+        retry_s = _RETRY_MIN_S
+        while not self.failed:
+            answer = await self._open_once(tried, deadline)
+            if answer is not None and answer.ok:
+                return
+            reason = answer.detail if answer else "the target cannot be reached"
+            failure = (answer and answer.failure) or Failure.BUSY
+            if not self._anywhere or len(tried) >= len(self._group.targets):
+                tried.clear()
+                await self._runner.pause(retry_s, deadline, reason, failure)
+                retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+
+    async def _open_once(self, tried: set[str], deadline: float) -> Answer | None:
+        need = None
+        if self._anywhere:
+            need = await self._runner.need(
+                self._session, self._route, self._group, deadline
+            )
+            target = self._runner.choose(self._group, need, tried)
+            if target is None:
+                return Answer(failure=Failure.BUSY, detail="no target can be used")
+            tried.add(target.id)
+        else:
+            target = await self._group.wait_for_lead(deadline)
+        link = await self._runner.link(self._group, target, self._route, deadline)
+        if link is None:
+            return None
+        try:
+            answer = await self._runner.begin(
+                self._group,
+                target,
+                link,
+                deadline,
+                self._anywhere,
+                need.position if need else None,
+            )
+        except (TargetLost, TimeoutError):
+            target.pool.discard(link)
+            self._group.suspect(target)
+            return None
+        if need is not None:
+            self._runner.learn(target, need, answer)
+        if answer.ok:
+            self._target, self._link = target, link
+        else:
+            target.pool.release(link)
+        return answer
+
+    def _wait_for_caller(self) -> None:
+        self._timer = self._loop.call_later(self._idle_s, self._expire)
+
+    def _caller_came(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self) -> None:
+        self._expired = True
+        self._fail()
+
+
+def _with_state(answer: Answer, state: TransactionState) -> Answer:
+    return Answer(
+        answer.rows,
+        answer.signature,
+        answer.failure,
+        answer.detail,
+        state,
+        answer.position,
+    )
--- a/src/rosemaryridge/exceptions.py
+++ b/src/rosemaryridge/exceptions.py
@@ -58,6 +58,10 @@
         self.retry_after_s = retry_after_s
 
 
+class StoreHistoryGone(StoreError):
+    """Report that the changes asked for are no longer kept; list anew."""
+
+
 class StoreRefused(StoreError):
     """Report that the object API does not take a call, such as too large a value."""
 
--- a/src/rosemaryridge/group/_hint.py
+++ b/src/rosemaryridge/group/_hint.py
@@ -6,7 +6,7 @@
 
 from rosemaryridge.exceptions import StoreConflict
 from rosemaryridge.exceptions import StoreError
-from rosemaryridge.platform import ObjectStore
+from rosemaryridge.objects import ObjectStore
 from rosemaryridge.telemetry import Log
 from rosemaryridge.timer import TimerService
 
--- a/src/rosemaryridge/group/_service.py
+++ b/src/rosemaryridge/group/_service.py
@@ -26,7 +26,7 @@
 from rosemaryridge.model import TargetStatus
 from rosemaryridge.model import target_key
 from rosemaryridge.peer import PeerBus
-from rosemaryridge.platform import ObjectStore
+from rosemaryridge.objects import ObjectStore
 from rosemaryridge.telemetry import GROUP_TERM
 from rosemaryridge.telemetry import Log
 from rosemaryridge.telemetry import Metrics
--- a/src/rosemaryridge/membership/_service.py
+++ b/src/rosemaryridge/membership/_service.py
@@ -20,8 +20,8 @@
 from rosemaryridge.membership._vms import VmList
 from rosemaryridge.model import Endpoint
 from rosemaryridge.peer import PeerIdentity
-from rosemaryridge.platform import ObjectStore
-from rosemaryridge.platform import VmRecord
+from rosemaryridge.objects import ObjectStore
+from rosemaryridge.objects import VmRecord
 from rosemaryridge.timer import Subscription
 from rosemaryridge.timer import TimerService
 
--- a/src/rosemaryridge/membership/_vms.py
+++ b/src/rosemaryridge/membership/_vms.py
@@ -7,8 +7,8 @@
 from rosemaryridge.config import MembershipSettings
 from rosemaryridge.exceptions import StoreError
 from rosemaryridge.model import Endpoint
-from rosemaryridge.platform import ObjectStore
-from rosemaryridge.platform import VmRecord
+from rosemaryridge.objects import ObjectStore
+from rosemaryridge.objects import VmRecord
 from rosemaryridge.timer import Subscription
 from rosemaryridge.timer import TimerService
 
--- a/src/rosemaryridge/platform/_confirm.py
+++ b/src/rosemaryridge/objects/_confirm.py
@@ -5,8 +5,8 @@
 from rosemaryridge.exceptions import StoreConflict
 from rosemaryridge.exceptions import StoreLimited
 from rosemaryridge.exceptions import StoreUnavailable
-from rosemaryridge.platform._api import ObjectStore
-from rosemaryridge.platform._api import StoredObject
+from rosemaryridge.objects._api import ObjectStore
+from rosemaryridge.objects._api import StoredObject
 from rosemaryridge.timer import TimerService
 from rosemaryridge.timer import sleep
 
--- a/src/rosemaryridge/platform/_documents.py
+++ b/src/rosemaryridge/objects/_documents.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from rosemaryridge.exceptions import StoreUnavailable
-from rosemaryridge.platform._api import StoredObject
-from rosemaryridge.platform._api import VmRecord
+from rosemaryridge.objects._api import StoredObject
+from rosemaryridge.objects._api import VmRecord
 
 
 class ObjectDocument(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/rosemaryridge/platform/callers.py
@@ -0,0 +1,203 @@
+"""Serve callers over the platform's statement protocol."""
+
+import asyncio
+import collections
+import typing as t
+
+from rosemaryridge.core import Caller
+from rosemaryridge.core import Failure
+from rosemaryridge.core import Proxy
+from rosemaryridge.core import StatementError
+from rosemaryridge.core import TransactionState
+from rosemaryridge.model import Endpoint
+from rosemaryridge.platform import wire
+from rosemaryridge.platform.http import keep_alive
+
+# Messages that one caller may have waiting before its connection is not read.
+_MAX_WAITING = 64
+# Every caller of a VM may come back at once after a restart.
+_BACKLOG = 1024
+
+
+class CallerConnection(asyncio.Protocol):
+    """Read one caller's messages and answer them in order."""
+
+    def __init__(self, server: "CallerServer"):
+        self._server = server
+        self._reader = wire.LineReader()
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._transport: asyncio.Transport | None = None
+        self._caller: Caller | None = None
+        self._work: asyncio.Task[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._leaving = False
+        # Whether the session has been used, as opposed to only opened.
+        self.used = False
+
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing is asked and no transaction is open."""
+        if self._work is not None or self._waiting or self._caller is None:
+            return False
+        return self._caller.state is TransactionState.IDLE
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = t.cast(asyncio.Transport, transport)
+        keep_alive(transport)
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._server.connections.discard(self)
+        self.resume_writing()
+        self._waiting.clear()
+        if self._work is None and self._caller is not None:
+            self._caller.leave()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._waiting.extend(self._reader.feed(data))
+        except wire.MessageTooLarge as exc:
+            self._write(wire.encode_failure(Failure.TOO_LARGE, str(exc)))
+            return self._close()
+        if len(self._waiting) > _MAX_WAITING and self._transport is not None:
+            self._transport.pause_reading()
+        if self._work is None and self._waiting:
+            self._work = asyncio.get_running_loop().create_task(self._serve())
+        return None
+
+    def pause_writing(self) -> None:
+        if self._writable is None:
+            self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        writable, self._writable = self._writable, None
+        if writable is not None and not writable.done():
+            writable.set_result(None)
+
+    def leave(self) -> None:
+        """Ask an idle caller to come back elsewhere.
+
+        The message answers a request that is on its way, which is then not run.
+        """
+        if self._leaving:
+            return
+        self._leaving = True
+        detail = "the proxy is stopping; retry after 0 ms"
+        self._write(wire.encode_failure(Failure.BUSY, detail))
+
+    def cut(self) -> None:
+        """Close the connection."""
+        self._close()
+
+    async def _serve(self) -> None:
+        try:
+            while self._waiting and self._transport is not None:
+                line = self._waiting.popleft()
+                if len(self._waiting) < _MAX_WAITING // 2:
+                    self._transport.resume_reading()
+                data = await self._answer(line)
+                self._write(data)
+                if self._writable is not None:
+                    await self._writable
+        finally:
+            self._work = None
+            if self._transport is None and self._caller is not None:
+                self._caller.leave()
+        self._server.served(self)
+
+    async def _answer(self, line: bytes) -> bytes:
+        if self._leaving:
+            return wire.encode_ready(TransactionState.IDLE)
+        try:
+            message = wire.decode_request(line)
+        except wire.MalformedMessage as exc:
+            return self._refuse(str(exc))
+        if isinstance(message, wire.Terminate):
+            self._close()
+            return b""
+        if isinstance(message, wire.Open):
+            return await self._open(message)
+        if self._caller is None:
+            return self._refuse("START comes first")
+        try:
+            statement = wire.decode_statement(message.id, message.text)
+        except wire.MalformedMessage as exc:
+            return wire.encode_answer(self._caller.malformed(str(exc)))
+        answer = await self._caller.serve(statement)
+        self.used = True
+        return wire.encode_answer(answer)
+
+    async def _open(self, message: wire.Open) -> bytes:
+        if self._caller is not None:
+            return self._refuse("the session is open")
+        try:
+            self._caller = await self._server.proxy.open(message.database)
+        except StatementError as exc:
+            self._write(wire.encode_failure(exc.failure, exc.detail))
+            self._close()
+            return b""
+        return wire.encode_ready(TransactionState.IDLE)
+
+    def _refuse(self, detail: str) -> bytes:
+        if self._caller is not None:
+            return wire.encode_answer(self._caller.malformed(detail))
+        self._write(wire.encode_failure(Failure.MALFORMED, detail))
+        self._close()
+        return b""
+
+    def _write(self, data: bytes) -> None:
+        if data and self._transport is not None:
+            self._transport.write(data)
+
+    def _close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+
+class CallerServer:
+    """Listen for callers and let them go when the proxy stops."""
+
+    def __init__(self, proxy: Proxy):
+        self.proxy = proxy
+        self.connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._draining = False
+
+    async def start(self, endpoint: Endpoint) -> None:
+        """Listen on an address."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self),
+            endpoint.host,
+            endpoint.port,
+            backlog=_BACKLOG,
+        )
+
+    def drain(self) -> None:
+        """Send callers elsewhere as soon as each is idle.
+
+        Those that still come are served once, since they were sent here.
+        """
+        self._draining = True
+        for connection in list(self.connections):
+            if connection.idle:
+                connection.leave()
+
+    def served(self, connection: CallerConnection) -> None:
+        """Take in that a connection has answered all it was asked."""
+        if self._draining and connection.idle and connection.used:
+            connection.leave()
+
+    def stop_listening(self) -> None:
+        """Take no more connections and let unused ones go."""
+        if self._server is not None:
+            self._server.close()
+        self.drain()
+
+    def close(self) -> None:
+        """Close every connection."""
+        for connection in list(self.connections):
+            connection.cut()
+
+
--- /dev/null
+++ b/src/rosemaryridge/platform/target.py
@@ -0,0 +1,179 @@
+"""Connect to the platform's targets."""
+
+import asyncio
+import collections
+import typing as t
+
+from rosemaryridge.core import Answer
+from rosemaryridge.core import Failure
+from rosemaryridge.core import TargetCondition
+from rosemaryridge.core import TargetInfo
+from rosemaryridge.core import TargetLost
+from rosemaryridge.core import commands
+from rosemaryridge.platform import wire
+from rosemaryridge.platform.http import keep_alive
+
+_FULL = (Failure.TOO_MANY_CONNECTIONS, Failure.BUSY)
+
+
+def _run(command: commands.Run) -> bytes:
+    statement = command.statement
+    text = statement.text
+    if command.name:
+        text = wire.execute_text(command.name, statement.rest)
+    if command.after is not None:
+        text = wire.after_text(command.after, text)
+    return wire.encode_query(text, statement.id)
+
+
+def _begin(command: commands.Begin) -> bytes:
+    text = wire.begin_text(command.read_only)
+    if command.after is not None:
+        text = wire.after_text(command.after, text)
+    return wire.encode_query(text)
+
+
+def _prepare(command: commands.Prepare) -> bytes:
+    text = wire.prepare_text(command.name, command.read_only, command.shape)
+    return wire.encode_query(text)
+
+
+_ENCODERS: dict[type, t.Callable[[t.Any], bytes]] = {
+    commands.Run: _run,
+    commands.Begin: _begin,
+    commands.Rollback: lambda command: wire.encode_query(wire.ROLLBACK),
+    commands.SetValue: lambda command: wire.encode_query(
+        wire.set_text(command.name, command.value)
+    ),
+    commands.Prepare: _prepare,
+    commands.Reset: lambda command: wire.encode_query(wire.RESET),
+    commands.StepDown: lambda command: wire.encode_query(
+        wire.step_down_text(command.term)
+    ),
+}
+
+
+class TargetConnection(asyncio.Protocol):
+    """Be one connection to a target."""
+
+    def __init__(self) -> None:
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: set[bytes] = set()
+        self._transport: asyncio.Transport | None = None
+        self._reader = wire.AnswerReader()
+        self._pending: collections.deque[asyncio.Future[Answer]] = collections.deque()
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def closed(self) -> bool:
+        """Return whether the connection has ended."""
+        return self._transport is None
+
+    @property
+    def busy(self) -> bool:
+        """Return whether answers are outstanding."""
+        return bool(self._pending)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = t.cast(asyncio.Transport, transport)
+        keep_alive(transport)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            answers = self._reader.feed(data)
+        except wire.MalformedMessage:
+            return self.close()
+        for answer in answers:
+            if not self._pending:
+                return self.close()
+            fut = self._pending.popleft()
+            if not fut.done():
+                fut.set_result(answer)
+        return None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        refusal = self._reader.refusal()
+        text = f"{refusal[0].value}: {refusal[1]}" if refusal else str(exc or "closed")
+        pending, self._pending = self._pending, collections.deque()
+        for fut in pending:
+            if not fut.done():
+                fut.set_exception(TargetLost(text))
+                # A caller that has left does not wait for its answer.
+                fut.exception()
+
+    def refusal(self) -> tuple[Failure, str] | None:
+        """Return why the target closed the connection, if it said so."""
+        return self._reader.refusal()
+
+    def send(self, *batch: commands.Command) -> list[asyncio.Future[Answer]]:
+        """Send commands at once and return their answers to come."""
+        futures = [self._loop.create_future() for _ in batch]
+        if self._transport is None:
+            for fut in futures:
+                fut.set_exception(TargetLost("the connection was closed before"))
+                fut.exception()
+            return futures
+        self._pending.extend(futures)
+        self._transport.write(b"".join(_ENCODERS[type(c)](c) for c in batch))
+        return futures
+
+    def start(self, info: TargetInfo) -> asyncio.Future[Answer]:
+        """Ask for the session; the answer's position is that of the target's log."""
+        fut = self._loop.create_future()
+        self._pending.append(fut)
+        if self._transport is not None:
+            self._transport.write(wire.encode_start(info.service, info.id))
+        return fut
+
+    async def ask_condition(self) -> TargetCondition | None:
+        """Return the target's condition, None where it has no slot to tell it."""
+        fut = self._loop.create_future()
+        if self._transport is None:
+            raise TargetLost("the connection was closed before")
+        self._pending.append(fut)
+        self._transport.write(wire.encode_query(wire.STATUS))
+        return wire.decode_condition(await fut)
+
+    def close(self) -> None:
+        """End the connection; the target rolls an open transaction back."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+async def connect(info: TargetInfo, timeout_s: float) -> TargetConnection:
+    """Open a connection to exactly this target; raise ConnectFailed."""
+    loop = asyncio.get_running_loop()
+    where = (info.endpoint.host, info.endpoint.port)
+    connection: TargetConnection | None = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(TargetConnection, *where)
+            answer = await connection.start(info)
+    except ConnectionRefusedError as exc:
+        raise commands.ConnectFailed("nothing listens", refused=True) from exc
+    except TargetLost as exc:
+        raise _refused(connection, str(exc)) from exc
+    except (OSError, TimeoutError) as exc:
+        if connection is not None:
+            connection.close()
+        raise commands.ConnectFailed(str(exc) or f"silent for {timeout_s} s") from exc
+    if answer.failure is not None:
+        connection.close()
+        raise _failed(answer.failure, answer.detail)
+    return connection
+
+
+def _refused(connection: TargetConnection, reason: str) -> commands.ConnectFailed:
+    refusal = connection.refusal()
+    if refusal is None:
+        return commands.ConnectFailed(reason)
+    return _failed(*refusal)
+
+
+def _failed(failure: Failure, detail: str) -> commands.ConnectFailed:
+    return commands.ConnectFailed(
+        f"{failure.value}: {detail}",
+        full=failure in _FULL,
+        wrong=failure is Failure.WRONG_TARGET,
+    )
--- /dev/null
+++ b/src/rosemaryridge/platform/wire.py
@@ -0,0 +1,353 @@
+"""Decode and encode the platform's statement protocol."""
+
+import typing as t
+
+from rosemaryridge.core import Answer
+from rosemaryridge.core import Failure
+from rosemaryridge.core import Statement
+from rosemaryridge.core import TargetCondition
+from rosemaryridge.core import TransactionState
+from rosemaryridge.core import Verb
+from rosemaryridge.model import Position
+
+# The page on the protocol bounds a message to 1 MiB.
+MAX_MESSAGE_BYTES = 1_048_576
+
+_END = b"\r\n"
+_OWN_ID = b"-"
+_NOTHING = b"-"
+
+_FAILURES = {
+    b"BUSY": Failure.BUSY,
+    b"LAGGING": Failure.LAGGING,
+    b"READONLY": Failure.READ_ONLY,
+    b"WRONGNODE": Failure.WRONG_TARGET,
+    b"CONNLIMIT": Failure.TOO_MANY_CONNECTIONS,
+    b"FAILED": Failure.FAILED,
+    b"NOSTMT": Failure.UNKNOWN_STATEMENT,
+    b"TIMEOUT": Failure.TIMEOUT,
+    b"UNAUTH": Failure.NOT_AUTHORIZED,
+    b"NODB": Failure.UNKNOWN_DATABASE,
+    b"TOOLARGE": Failure.TOO_LARGE,
+    b"MALFORMED": Failure.MALFORMED,
+    b"ABORTED": Failure.ABORTED,
+    b"INDOUBT": Failure.UNKNOWN_OUTCOME,
+}
+_FAILURE_WORDS = {failure: word for word, failure in _FAILURES.items()}
+_STATES = {
+    b"I": TransactionState.IDLE,
+    b"T": TransactionState.OPEN,
+    b"E": TransactionState.FAILED,
+}
+_STATE_WORDS = {state: word for word, state in _STATES.items()}
+_BARE = {b"COMMIT": Verb.COMMIT, b"ROLLBACK": Verb.ROLLBACK}
+_PREPARED_KINDS = {b"READ": True, b"WRITE": False}
+
+
+class MalformedMessage(ValueError):
+    """Report a message that the protocol does not define."""
+
+
+class MessageTooLarge(MalformedMessage):
+    """Report a message over the bound; the connection cannot go on."""
+
+
+class Open(t.NamedTuple):
+    """Open a session on a database."""
+
+    database: bytes
+
+
+class Query(t.NamedTuple):
+    """Carry a statement's id and text; the text is decoded apart from it."""
+
+    id: bytes
+    text: bytes
+
+
+class Terminate(t.NamedTuple):
+    """End a session."""
+
+
+class LineReader:
+    """Cut a stream of bytes into lines."""
+
+    __slots__ = ("_rest",)
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the lines that are whole; raise MessageTooLarge."""
+        data = self._rest + data if self._rest else data
+        *lines, self._rest = data.split(_END)
+        longest = max(map(len, lines), default=0)
+        if max(longest, len(self._rest)) + len(_END) > MAX_MESSAGE_BYTES:
+            raise MessageTooLarge(f"a message is over {MAX_MESSAGE_BYTES} bytes")
+        return lines
+
+
+def decode_request(line: bytes) -> Open | Query | Terminate:
+    """Return what a caller asks for; raise MalformedMessage."""
+    word, _, rest = line.partition(b" ")
+    if word == b"QUERY":
+        id_, blank, text = rest.partition(b" ")
+        if not id_ or not blank or not text:
+            raise MalformedMessage("QUERY needs an id and a text")
+        return Query(id_, text)
+    if word == b"START":
+        database, _, who = rest.partition(b" ")
+        if not database or not who:
+            raise MalformedMessage("START needs a database and a user")
+        return Open(database)
+    if line == b"TERMINATE":
+        return Terminate()
+    raise MalformedMessage("the message's kind is unknown")
+
+
+def decode_statement(id_: bytes, text: bytes) -> Statement:
+    """Return the statement that a text holds; raise MalformedMessage."""
+    word, _, rest = text.partition(b" ")
+    decode = _STATEMENTS.get(word)
+    # Control bytes and doubled blanks could read otherwise at a target.
+    if decode is None or b"\r" in text or b"\n" in text or b"\0" in text:
+        raise MalformedMessage("the statement is unknown")
+    return decode(id_, text, rest)
+
+
+def _bare(id_: bytes, text: bytes, rest: bytes) -> Statement:
+    if text not in _BARE:
+        raise MalformedMessage("the statement takes no arguments")
+    return Statement(id_, _BARE[text], text)
+
+
+def _begin(id_: bytes, text: bytes, rest: bytes) -> Statement:
+    if text not in (b"BEGIN", b"BEGIN READ"):
+        raise MalformedMessage("BEGIN takes only READ")
+    return Statement(id_, Verb.BEGIN, text, read_only=rest == b"READ")
+
+
+def _read(id_: bytes, text: bytes, rest: bytes) -> Statement:
+    if not rest or b" " in rest:
+        raise MalformedMessage("READ needs one item")
+    return Statement(id_, Verb.READ, text, read_only=True)
+
+
+def _write(id_: bytes, text: bytes, rest: bytes) -> Statement:
+    item, blank, data = rest.partition(b" ")
+    if not item or not blank or not data:
+        raise MalformedMessage("WRITE needs an item and data")
+    return Statement(id_, Verb.WRITE, text)
+
+
+def _set(id_: bytes, text: bytes, rest: bytes) -> Statement:
+    name, blank, value = rest.partition(b" ")
+    if not name or not blank:
+        raise MalformedMessage("SET needs a name and a value")
+    return Statement(id_, Verb.SET, text, name, value)
+
+
+def _prepare(id_: bytes, text: bytes, rest: bytes) -> Statement:
+    name, _, rest = rest.partition(b" ")
+    kind, _, shape = rest.partition(b" ")
+    if not name or kind not in _PREPARED_KINDS or not shape:
+        raise MalformedMessage("PREPARE needs a name, READ or WRITE, and a shape")
+    return Statement(id_, Verb.PREPARE, text, name, shape, _PREPARED_KINDS[kind])
+
+
+def _execute(id_: bytes, text: bytes, rest: bytes) -> Statement:
+    name, _, args = rest.partition(b" ")
+    if not name or not args:
+        raise MalformedMessage("EXECUTE needs a name and an item")
+    return Statement(id_, Verb.EXECUTE, text, name, args)
+
+
+def _deallocate(id_: bytes, text: bytes, rest: bytes) -> Statement:
+    if not rest or b" " in rest:
+        raise MalformedMessage("DEALLOCATE needs a name")
+    return Statement(id_, Verb.DEALLOCATE, text, rest)
+
+
+_STATEMENTS: dict[bytes, t.Callable[[bytes, bytes, bytes], Statement]] = {
+    b"BEGIN": _begin,
+    b"COMMIT": _bare,
+    b"ROLLBACK": _bare,
+    b"READ": _read,
+    b"WRITE": _write,
+    b"SET": _set,
+    b"PREPARE": _prepare,
+    b"EXECUTE": _execute,
+    b"DEALLOCATE": _deallocate,
+}
+
+
+def encode_ready(state: TransactionState, position: Position | None = None) -> bytes:
+    """Return the message that ends an answer."""
+    return b"READY %b %b\r\n" % (_STATE_WORDS[state], _position(position))
+
+
+def encode_failure(failure: Failure, detail: str) -> bytes:
+    """Return a failure without the message that ends an answer."""
+    return b"ERROR %b %b\r\n" % (_FAILURE_WORDS[failure], _one_line(detail))
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """Return a whole answer to a caller."""
+    if answer.failure is not None:
+        end = encode_failure(answer.failure, answer.detail)
+    else:
+        end = b"COMPLETE %b\r\n" % (answer.signature or _NOTHING)
+    rows = [b"DATAROW %b\r\n" % row for row in answer.rows]
+    ready = encode_ready(answer.state, answer.position)
+    return b"".join((*rows, end, ready))
+
+
+class AnswerReader:
+    """Gather a target's answers from its lines."""
+
+    __slots__ = ("_failure", "_detail", "_lines", "_rows", "_signature")
+
+    def __init__(self) -> None:
+        self._lines = LineReader()
+        self._begin()
+
+    def feed(self, data: bytes) -> list[Answer]:
+        """Return the answers that are whole; raise MalformedMessage."""
+        found = (self._line(line) for line in self._lines.feed(data))
+        return [answer for answer in found if answer is not None]
+
+    def _begin(self) -> None:
+        self._rows: list[bytes] = []
+        self._signature = b""
+        self._failure: Failure | None = None
+        self._detail = ""
+
+    def _line(self, line: bytes) -> Answer | None:
+        word, _, rest = line.partition(b" ")
+        if word == b"READY":
+            return self._end(rest)
+        if word == b"DATAROW":
+            self._rows.append(rest)
+        elif word == b"COMPLETE":
+            self._signature = b"" if rest == _NOTHING else rest
+        elif word == b"ERROR":
+            code, _, detail = rest.partition(b" ")
+            self._failure = _FAILURES.get(code, Failure.FAILED)
+            self._detail = detail.decode(errors="replace")
+        else:
+            raise MalformedMessage(f"a target sent {word[:20]!r}")
+        return None
+
+    def _end(self, rest: bytes) -> Answer:
+        state, _, position = rest.partition(b" ")
+        if state not in _STATES:
+            raise MalformedMessage(f"a target sent the state {state[:20]!r}")
+        answer = Answer(
+            tuple(self._rows),
+            self._signature,
+            self._failure,
+            self._detail,
+            _STATES[state],
+            decode_position(position),
+        )
+        self._begin()
+        return answer
+
+    def refusal(self) -> tuple[Failure, str] | None:
+        """Return a failure that nothing followed, as before a close."""
+        return (self._failure, self._detail) if self._failure else None
+
+
+def encode_start(service: str, target: str) -> bytes:
+    """Return the message that opens a connection to a target of this id."""
+    return b"START %b rosemaryridge %b\r\n" % (service.encode(), target.encode())
+
+
+def encode_query(text: bytes, id_: bytes = _OWN_ID) -> bytes:
+    """Return a statement for a target; one without an id is the proxy's own."""
+    return b"QUERY %b %b\r\n" % (id_, text)
+
+
+def begin_text(read_only: bool) -> bytes:
+    """Return the text that opens a transaction."""
+    return b"BEGIN READ" if read_only else b"BEGIN"
+
+
+def after_text(position: Position, text: bytes) -> bytes:
+    """Return a read's text that a log without the position refuses."""
+    return b"AFTER %b %b" % (_position(position), text)
+
+
+def set_text(name: bytes, value: bytes) -> bytes:
+    """Return the text that sets a session value."""
+    return b"SET %b %b" % (name, value)
+
+
+def prepare_text(name: bytes, read_only: bool, shape: bytes) -> bytes:
+    """Return the text that prepares a statement."""
+    kind = b"READ" if read_only else b"WRITE"
+    return b"PREPARE %b %b %b" % (name, kind, shape)
+
+
+def execute_text(name: bytes, args: bytes) -> bytes:
+    """Return the text that runs a prepared statement."""
+    return b"EXECUTE %b %b" % (name, args)
+
+
+ROLLBACK = b"ROLLBACK"
+RESET = b"RESET"
+STATUS = b"STATUS"
+
+
+def pause_text(term: int) -> bytes:
+    """Return the text that stops a replica from receiving older terms."""
+    return b"PAUSE %d" % term
+
+
+def resume_text() -> bytes:
+    """Return the text that lets a replica receive again."""
+    return b"RESUME"
+
+
+def step_down_text(term: int) -> bytes:
+    """Return the text that makes a primary of a lower term a replica."""
+    return b"STEPDOWN %d" % term
+
+
+def decode_condition(answer: Answer) -> TargetCondition | None:
+    """Return a target's condition; None where it told none."""
+    if not answer.ok or not answer.rows:
+        return None
+    fields = answer.rows[0].split()
+    try:
+        role, term, received, held, lag_ms, busy, connections = fields[:7]
+        # The second position on this row, "term held", is that of a pause.
+        return TargetCondition(
+            role == b"primary",
+            int(term),
+            decode_position(received) or Position(),
+            int(held),
+            float(lag_ms) / 1000.0,
+            int(busy),
+            int(connections),
+        )
+    except ValueError:
+        return None
+
+
+def decode_position(text: bytes) -> Position | None:
+    """Return a log position; None where the text holds none."""
+    term, dot, number = text.partition(b".")
+    if not dot or not term.isdigit() or not number.isdigit():
+        return None
+    return Position(int(term), int(number))
+
+
+def _position(position: Position | None) -> bytes:
+    if position is None:
+        return _NOTHING
+    return b"%d.%d" % (position.term, position.lsn)
+
+
+def _one_line(detail: str) -> bytes:
+    return detail.replace("\r", " ").replace("\n", " ").encode() or _NOTHING
--- a/src/rosemaryridge/pool/_reign_keeper.py
+++ b/src/rosemaryridge/pool/_reign_keeper.py
@@ -4,7 +4,7 @@
 
 from rosemaryridge.exceptions import StoreConflict
 from rosemaryridge.exceptions import StoreUnavailable
-from rosemaryridge.platform import ObjectStore
+from rosemaryridge.objects import ObjectStore
 from rosemaryridge.pool._grantor import Grantor
 from rosemaryridge.pool._reign import GrantorRecord
 from rosemaryridge.pool._reign import Reign
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -13,7 +13,7 @@
 from rosemaryridge.membership import Membership
 from rosemaryridge.peer import GrpcPeerBus
 from rosemaryridge.peer import PeerIdentity
-from rosemaryridge.platform import HttpObjectStore
+from rosemaryridge.objects import HttpObjectStore
 from rosemaryridge.pool import LeaseService
 from rosemaryridge.pool import Pools
 from rosemaryridge.pool import RetryBudget
--- a/src/rosemaryridge/routing/_router.py
+++ b/src/rosemaryridge/routing/_router.py
@@ -13,7 +13,7 @@
 from rosemaryridge.model import Position
 from rosemaryridge.model import Role
 from rosemaryridge.model import target_key
-from rosemaryridge.routing._freshness import PrimaryHistory
+from rosemaryridge.core import PrimaryHistory
 from rosemaryridge.routing._health import TargetHealth
 from rosemaryridge.routing._policies import find_policy
 from rosemaryridge.routing._view import GroupView
--- /dev/null
+++ b/src/rosemaryridge_entry.py
@@ -0,0 +1,6 @@
+"""Start the proxy of one entry VM from a checkout."""
+
+from rosemaryridge.cli.entry import main
+
+if __name__ == "__main__":
+    main()
--- a/src/rosemaryridge_testbed/virtual/_store.py
+++ b/src/rosemaryridge_testbed/virtual/_store.py
@@ -2,8 +2,8 @@
 
 from rosemaryridge.exceptions import StoreConflict
 from rosemaryridge.exceptions import StoreUnavailable
-from rosemaryridge.platform import StoredObject
-from rosemaryridge.platform import VmRecord
+from rosemaryridge.objects import StoredObject
+from rosemaryridge.objects import VmRecord
 
 
 class VirtualStore:
--- a/src/rosemaryridge_testbed/virtual/_waiting.py
+++ b/src/rosemaryridge_testbed/virtual/_waiting.py
@@ -4,7 +4,7 @@
 import collections
 
 from rosemaryridge.exceptions import StoreUnavailable
-from rosemaryridge.platform import StoredObject
+from rosemaryridge.objects import StoredObject
 from rosemaryridge.timer import ManualTimer
 from rosemaryridge_testbed.virtual._store import VirtualStore
 
--- a/tests/integration/test_publish.py
+++ b/tests/integration/test_publish.py
@@ -17,8 +17,8 @@
 from rosemaryridge.config import encode_service
 from rosemaryridge.config import to_plain
 from rosemaryridge.exceptions import Refusal
-from rosemaryridge.platform import HttpObjectStore
-from rosemaryridge.platform import PlatformSettings
+from rosemaryridge.objects import HttpObjectStore
+from rosemaryridge.objects import PlatformSettings
 from rosemaryridge.telemetry import Metrics
 from rosemaryridge.timer import LoopTimer
 from rosemaryridge_testbed.fleet import SERVICE
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,7 +14,7 @@
 from rosemaryridge.membership._messages import MemberState
 from rosemaryridge.membership._placement import Placement
 from rosemaryridge.membership._table import MemberTable
-from rosemaryridge.platform import VmRecord
+from rosemaryridge.objects import VmRecord
 from rosemaryridge.timer import ManualTimer
 from rosemaryridge_testbed.virtual import VirtualBus
 from rosemaryridge_testbed.virtual import VirtualNetwork
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,11 +10,11 @@
 from rosemaryridge.exceptions import StoreLimited
 from rosemaryridge.exceptions import StoreRefused
 from rosemaryridge.exceptions import StoreUnavailable
-from rosemaryridge.platform import CallBudget
-from rosemaryridge.platform import HttpObjectStore
-from rosemaryridge.platform import PlatformSettings
-from rosemaryridge.platform import StoredObject
-from rosemaryridge.platform import put_confirmed
+from rosemaryridge.objects import CallBudget
+from rosemaryridge.objects import HttpObjectStore
+from rosemaryridge.objects import PlatformSettings
+from rosemaryridge.objects import StoredObject
+from rosemaryridge.objects import put_confirmed
 from rosemaryridge.telemetry import STORE_CALLS
 from rosemaryridge.telemetry import Metrics
 from rosemaryridge.timer import LoopTimer
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -16,7 +16,7 @@
 from rosemaryridge.routing import Need
 from rosemaryridge.routing import Router
 from rosemaryridge.routing import policy_names
-from rosemaryridge.routing._freshness import PrimaryHistory
+from rosemaryridge.core import PrimaryHistory
 from rosemaryridge.telemetry import Metrics
 from rosemaryridge.timer import ManualTimer
 
