Let callers go only between two operations when a proxy stops

Cause: a farewell sent after SET or PREPARE failed the operation that followed, and a session whose request crossed the farewell was refused for good, since its caller repeats on the same connection.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -102,11 +102,13 @@
         began = loop.time()
         self._log.write("stopping", callers=len(self._callers.connections))
         self._failover.stopping = True
-        self._callers.drain()
-        await asyncio.sleep(_BALANCER_S)
-        self._callers.stop_listening()
         until = began + self._cfg.grace_s - _EXIT_MARGIN_S
-        while self._callers.connections and loop.time() < until:
+        while loop.time() < until:
+            self._callers.drain()
+            if loop.time() - began > _BALANCER_S:
+                self._callers.stop_listening()
+                if not self._callers.connections:
+                    break
             await asyncio.sleep(_DRAIN_POLL_S)
         self._log.write("stopped", callers=len(self._callers.connections))
         self._callers.close()
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -283,8 +283,6 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + _PROMOTION_S
         while loop.time() < until:
-            if group.primary == target.id and group.term > 0:
-                return True
             if await group.check(target):
                 return True
             await asyncio.sleep(_POLL_S)
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -14,6 +14,7 @@
 from rosemaryridge.core.commands import Begin
 from rosemaryridge.core.commands import Link
 from rosemaryridge.core.commands import Rollback
+from rosemaryridge.model import ORIGIN
 from rosemaryridge.model import Position
 from rosemaryridge.core._pool import PoolClosed
 
@@ -38,7 +39,10 @@
         self.service = service
         self.targets: dict[str, Target] = {}
         self.primary: str | None = None
+        # That of the newest position seen; a new primary starts with an older one.
         self.term = 0
+        self._proved_by: str | None = None
+        self._proved_at = float("-inf")
         self._log = log
         self._on_trouble = on_trouble
         self._history = PrimaryHistory()
@@ -54,11 +58,19 @@
         return self.targets.get(self.primary) if self.primary else None
 
     def proved(self, target: Target, position: Position | None, sent_at: float) -> None:
-        """Take in that a target led after `sent_at`, at a position of its log."""
+        """Take in that a target led after `sent_at`, at a position of its log.
+
+        The position's term is that of the newest commit, which a new primary has
+        from the one before it.
+        """
         if position is None or position.term < self.term:
             return
-        if target.id != self.primary or position.term != self.term:
+        if target.id != self._proved_by:
+            if sent_at < self._proved_at and position.term == self.term:
+                return
             self._take_lead(target, position.term)
+        self._proved_at = max(self._proved_at, sent_at)
+        self.term = position.term
         self._history.observe(position, sent_at)
         target.applied = max(target.applied, position)
 
@@ -76,7 +88,7 @@
             self._log.write(
                 "primary_lost", service=self.service, target=target.id, term=self.term
             )
-            self.primary = None
+            self.primary = self._proved_by = None
             self._start_search()
 
     def suspect(self, target: Target) -> None:
@@ -93,10 +105,11 @@
             before=self.primary,
             before_term=self.term,
         )
-        self.primary = target.id
-        if term != self.term:
-            self.term = term
-            self._history = PrimaryHistory()
+        self.primary = self._proved_by = target.id
+        # What the primary before it committed last may be lost.
+        self._history = PrimaryHistory()
+        for one in self.targets.values():
+            one.applied = ORIGIN
         self._wake()
 
     def _wake(self) -> None:
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -325,6 +325,12 @@
             need = await self.need(session, route, group, deadline)
             target = self.choose(group, need, tried)
             if target is None and not running:
+                if last[0] is Failure.LAGGING:
+                    # What the session wrote may have been rolled back by a
+                    # promotion; the primary has all that was kept.
+                    return await self._read_on_primary(
+                        session, route, group, statement, deadline
+                    )
                 tried.clear()
                 await self.pause(retry_s, deadline, last[1], last[0])
                 retry_s = min(_RETRY_MAX_S, 2 * retry_s)
--- a/src/rosemaryridge/platform/callers.py
+++ b/src/rosemaryridge/platform/callers.py
@@ -9,6 +9,7 @@
 from rosemaryridge.core import Proxy
 from rosemaryridge.core import StatementError
 from rosemaryridge.core import TransactionState
+from rosemaryridge.core import Verb
 from rosemaryridge.model import Endpoint
 from rosemaryridge.platform import wire
 from rosemaryridge.platform.http import keep_alive
@@ -17,6 +18,9 @@
 _MAX_WAITING = 64
 # Every caller of a VM may come back at once after a restart.
 _BACKLOG = 1024
+# A caller that has set or prepared something follows within a round trip.
+_PREPARING_S = 0.15
+_PREPARING = (Verb.SET, Verb.PREPARE, Verb.DEALLOCATE, Verb.BEGIN)
 
 
 class CallerConnection(asyncio.Protocol):
@@ -30,16 +34,23 @@
         self._caller: Caller | None = None
         self._work: asyncio.Task[None] | None = None
         self._writable: asyncio.Future[None] | None = None
+        # Whether the farewell was sent and nothing has come since.
         self._leaving = False
-        # Whether the session has been used, as opposed to only opened.
-        self.used = False
+        # When the session last was between two operations, in loop time.
+        self._rests_since = asyncio.get_running_loop().time()
+        self._between = False
 
-    @property
-    def idle(self) -> bool:
-        """Return whether nothing is asked and no transaction is open."""
-        if self._work is not None or self._waiting or self._caller is None:
+    def can_leave(self, now: float) -> bool:
+        """Return whether no operation would be cut in two.
+
+        A caller prepares an operation by SET or PREPARE and sends it at once.
+        """
+        busy = self._work is not None or self._waiting
+        if busy or self._leaving or self._caller is None:
+            return False
+        if self._caller.state is not TransactionState.IDLE:
             return False
-        return self._caller.state is TransactionState.IDLE
+        return self._between or now - self._rests_since > _PREPARING_S
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = t.cast(asyncio.Transport, transport)
@@ -80,8 +91,6 @@
 
         The message answers a request that is on its way, which is then not run.
         """
-        if self._leaving:
-            return
         self._leaving = True
         detail = "the proxy is stopping; retry after 0 ms"
         self._write(wire.encode_failure(Failure.BUSY, detail))
@@ -107,8 +116,6 @@
         self._server.served(self)
 
     async def _answer(self, line: bytes) -> bytes:
-        if self._leaving:
-            return wire.encode_ready(TransactionState.IDLE)
         try:
             message = wire.decode_request(line)
         except wire.MalformedMessage as exc:
@@ -116,6 +123,8 @@
         if isinstance(message, wire.Terminate):
             self._close()
             return b""
+        if self._leaving:
+            return self._answer_crossed()
         if isinstance(message, wire.Open):
             return await self._open(message)
         if self._caller is None:
@@ -125,12 +134,27 @@
         except wire.MalformedMessage as exc:
             return wire.encode_answer(self._caller.malformed(str(exc)))
         answer = await self._caller.serve(statement)
-        self.used = True
+        self._rest(between=statement.verb not in _PREPARING)
         return wire.encode_answer(answer)
 
+    def _answer_crossed(self) -> bytes:
+        """Complete the farewell as the answer to the request that crossed it.
+
+        The session goes on: its caller repeats the operation here.
+        """
+        self._leaving = False
+        self._rest(between=False)
+        self._server.proxy.log.write("request_crossed_farewell")
+        return wire.encode_ready(TransactionState.IDLE)
+
+    def _rest(self, between: bool) -> None:
+        self._between = between
+        self._rests_since = asyncio.get_running_loop().time()
+
     async def _open(self, message: wire.Open) -> bytes:
         if self._caller is not None:
             return self._refuse("the session is open")
+        self._rest(between=False)
         try:
             self._caller = await self._server.proxy.open(message.database)
         except StatementError as exc:
@@ -175,25 +199,26 @@
         )
 
     def drain(self) -> None:
-        """Send callers elsewhere as soon as each is idle.
+        """Send callers elsewhere as soon as each is between two operations.
 
         Those that still come are served once, since they were sent here.
         """
         self._draining = True
+        now = asyncio.get_running_loop().time()
         for connection in list(self.connections):
-            if connection.idle:
+            if connection.can_leave(now):
                 connection.leave()
 
     def served(self, connection: CallerConnection) -> None:
         """Take in that a connection has answered all it was asked."""
-        if self._draining and connection.idle and connection.used:
+        now = asyncio.get_running_loop().time()
+        if self._draining and connection.can_leave(now):
             connection.leave()
 
     def stop_listening(self) -> None:
-        """Take no more connections and let unused ones go."""
+        """Take no more connections."""
         if self._server is not None:
             self._server.close()
-        self.drain()
 
     def close(self) -> None:
         """Close every connection."""
