--- a/src/rosemaryridge/core/_session.py
+++ b/src/rosemaryridge/core/_session.py
@@ -117,7 +117,7 @@
     A floor of a newer term holds what was kept of the session's older commits.
     """
     position, age_s = floor
-    if session.written > position and session.written.term == position.term:
+    if session.written > position:
         return session.written, 0.0
     return position, age_s
 
