--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -14,6 +14,8 @@
 from rosemaryridge.core import Proxy
 from rosemaryridge.core import TargetInfo
 from rosemaryridge.exceptions import SettingsError
+from rosemaryridge.exceptions import StoreError
+from rosemaryridge.exceptions import StoreUnavailable
 from rosemaryridge.platform import documents
 from rosemaryridge.platform import target
 from rosemaryridge.platform.callers import CallerServer
@@ -35,6 +37,15 @@
 # The settings may change without a signal.
 _SETTINGS_POLL_S = 5.0
 _EXIT_BAD_SETTINGS = 2
+# A proxy that for this long, two tries, has found no primary of some group or has
+# had no answer from some target, and does not reach the store either, is cut off;
+# others of its failure domain may not be.
+_ISOLATED_S = 0.5
+_ISOLATION_POLL_S = 0.25
+# A healthy store answers in 4 ms, a slow one seldom takes longer than this.
+_STORE_PROBE_S = 0.4
+# No object has this name, so that the answer is short.
+_PROBE_NAME = "probe"
 
 
 class Entry:
@@ -45,6 +56,8 @@
         self._path = path
         self._modified = _modified(path)
         self._stopping = asyncio.Event()
+        self._isolated = False
+        self._isolated_at = 0.0
         self._log = EventLog(cfg.vm)
         rng = random.Random()
         self._store = Store(cfg.store)
@@ -87,7 +100,9 @@
         await self._pages.start(self._cfg.readiness)
         await self._callers.start(self._cfg.callers)
         polling = loop.create_task(self._poll_settings())
+        watching = loop.create_task(self._watch_isolation())
         await self._stopping.wait()
+        watching.cancel()
         await self._drain()
         polling.cancel()
 
@@ -116,7 +131,47 @@
 
     def _readiness(self) -> tuple[int, bytes]:
         ready = self._proxy.ready and not self._stopping.is_set()
-        return (200 if ready else 503), b""
+        return (200 if ready and not self._isolated else 503), b""
+
+    async def _watch_isolation(self) -> None:
+        while True:
+            await asyncio.sleep(_ISOLATION_POLL_S)
+            directory = self._proxy.directory
+            leaderless_s, silent_s = directory.leaderless_s(), directory.silent_s()
+            doubt_s = max(leaderless_s, silent_s)
+            isolated = doubt_s > _ISOLATED_S and not await self._reach_store()
+            if isolated and self._isolated_for_s() > _BALANCER_S:
+                # A cut this long may last; callers are led elsewhere by now.
+                self._proxy.directory.set_cut_off(True)
+                self._callers.send_away()
+            if isolated != self._isolated:
+                self._isolate(isolated, leaderless_s, silent_s)
+
+    def _isolate(self, isolated: bool, leaderless_s: float, silent_s: float) -> None:
+        self._isolated = isolated
+        self._isolated_at = asyncio.get_running_loop().time()
+        if not isolated:
+            self._proxy.directory.set_cut_off(False)
+        self._log.write(
+            "isolated" if isolated else "no_longer_isolated",
+            without_primary_s=round(leaderless_s, 2),
+            target_silent_s=round(silent_s, 2),
+        )
+
+    async def _reach_store(self) -> bool:
+        try:
+            async with asyncio.timeout(_STORE_PROBE_S):
+                await self._store.get(documents.CONFIG_KIND, _PROBE_NAME)
+        except (StoreUnavailable, TimeoutError):
+            return False
+        except StoreError:
+            return True
+        return True
+
+    def _isolated_for_s(self) -> float:
+        if not self._isolated:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._isolated_at
 
     def _adopt_configs(self, objects: tuple[StoredObject, ...]) -> None:
         for stored in objects:
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -46,6 +46,28 @@
             self.groups[service] = found
         return found
 
+    def leaderless_s(self) -> float:
+        """Return for how long some group has had no known primary."""
+        return max((one.leaderless_s() for one in self.groups.values()), default=0.0)
+
+    def silent_s(self) -> float:
+        """Return for how long some target has not answered."""
+        now = self._loop.time()
+        return max(
+            (
+                now - target.silent_since
+                for group in self.groups.values()
+                for target in group.targets.values()
+                if target.silent_since is not None and target.refused_at is None
+            ),
+            default=0.0,
+        )
+
+    def set_cut_off(self, cut_off: bool) -> None:
+        """Take in whether this proxy is cut off from what its groups need."""
+        for group in self.groups.values():
+            group.set_cut_off(cut_off)
+
     def adopt_limits(self, config: FleetConfig) -> None:
         """Take over how many connections each target takes."""
         self._limits = config.connection_limits
@@ -142,7 +164,7 @@
         elif exc.refused or exc.wrong:
             target.refused(now)
         else:
-            target.silent(now)
+            group.silent(target)
         self._log.write(
             "connect_failed",
             service=group.service,
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -83,6 +83,25 @@
         """Order a promotion; raise FenceRefused or StoreError."""
 
 
+# Evidence of one proxy that may be due to its own paths.
+_UNCERTAIN = (Reason.SILENT, Reason.NONE)
+
+
+def progress(
+    before: t.Mapping[str, TargetCondition], after: t.Mapping[str, TargetCondition]
+) -> str:
+    """Return what shows that some primary works, nothing if nothing does."""
+    if not after:
+        return "no replica answers either"
+    for name, condition in after.items():
+        if condition.primary:
+            return f"{name} leads term {condition.term}"
+        earlier = before.get(name)
+        if earlier is not None and condition.received > earlier.received:
+            return f"{name} still receives"
+    return ""
+
+
 def reason_to_replace(group: Group, now: float) -> Reason | None:
     """Return why a group needs another primary, from this proxy's evidence."""
     lead = group.lead
@@ -169,9 +188,10 @@
     async def _replace(self, group: Group, reason: Reason) -> bool:
         old = group.lead
         conditions = await self._conditions(group)
-        if reason is Reason.SILENT and not await self._is_dead(group, conditions):
+        if reason in _UNCERTAIN and not await self._is_dead(group, conditions):
             return False
-        target = best_candidate(group, conditions)
+        followers = {name: c for name, c in conditions.items() if not c.primary}
+        target = best_candidate(group, followers)
         if target is None:
             self._note(group, reason, "no replica can take over")
             return False
@@ -194,25 +214,20 @@
     async def _is_dead(
         self, group: Group, before: t.Mapping[str, TargetCondition]
     ) -> bool:
-        """Return whether a silent primary is silent for all.
+        """Return whether no primary works for anybody.
 
         Replicas that go on receiving show that others still reach it.
         """
         lead = group.lead
-        if lead is None:
-            return False
-        await asyncio.sleep(_PROGRESS_S)
-        if await group.check(lead) is not None or lead.silent_since is None:
+        checks = [group.check(one) for one in group.targets.values()]
+        await asyncio.gather(asyncio.sleep(_PROGRESS_S), *checks)
+        if group.lead is not lead or lead and lead.silent_since is None:
             return False
         after = await self._conditions(group)
-        for name, condition in after.items():
-            earlier = before.get(name)
-            if earlier is not None and condition.received > earlier.received:
-                self._note(group, Reason.SILENT, f"{name} still receives")
-                return False
-        if not after:
-            self._note(group, Reason.SILENT, "no replica answers either")
-        return bool(after)
+        why = progress(before, after)
+        if why:
+            self._note(group, None, why)
+        return not why
 
     async def _conditions(self, group: Group) -> dict[str, TargetCondition]:
         others = [one for one in group.targets.values() if one is not group.lead]
@@ -220,7 +235,7 @@
         return {
             target.id: answer
             for target, answer in zip(others, answers, strict=True)
-            if answer is not None and not answer.primary
+            if answer is not None
         }
 
     async def _condition(self, target: Target) -> TargetCondition | None:
--- a/src/rosemaryridge/core/_follower.py
+++ b/src/rosemaryridge/core/_follower.py
@@ -40,6 +40,7 @@
         rng: random.Random,
     ):
         self.reachable = False
+        self.changed_at = asyncio.get_running_loop().time()
         self._store = store
         self._kind = kind
         self._on_list = on_list
@@ -78,12 +79,22 @@
     def _succeeded(self) -> None:
         self._retry_s = _RETRY_MIN_S
         if not self.reachable:
-            self.reachable = True
+            self._turn(True)
             self._log.write("store_reached", kind=self._kind, revision=self._revision)
 
+    def _turn(self, reachable: bool) -> None:
+        self.reachable = reachable
+        self.changed_at = asyncio.get_running_loop().time()
+
+    def unreachable_s(self) -> float:
+        """Return for how long the store has not been reached, 0 where it is."""
+        if self.reachable:
+            return 0.0
+        return asyncio.get_running_loop().time() - self.changed_at
+
     async def _failed(self, exc: StoreError) -> None:
         if self.reachable:
-            self.reachable = False
+            self._turn(False)
             self._log.write("store_lost", kind=self._kind, reason=str(exc))
         delay_s = self._retry_s
         if isinstance(exc, StoreLimited):
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -23,11 +23,14 @@
 PING_TIMEOUT_S = 0.25
 # While no primary is known the targets are asked this often.
 _SEARCH_PERIOD_S = 0.08
+# A target that has gone silent is asked this often whether it is back.
+_SILENT_PERIOD_S = 0.4
 # How much older a position may look than it is: the clocks' grain and a timer.
 _AGE_MARGIN_S = 0.05
 # A fresh position is asked for once the newest is this share of the bound old.
 _REFRESH_SHARE = 0.6
 _PING_PRIORITY = -1
+_RETRY_AFTER_S = 0.5
 
 
 class Group:
@@ -43,12 +46,15 @@
         self.term = 0
         self._proved_by: str | None = None
         self._proved_at = float("-inf")
+        # Whether this proxy reaches neither the store nor a primary.
+        self.cut_off = False
         self._log = log
         self._on_trouble = on_trouble
         self._history = PrimaryHistory()
         self._loop = asyncio.get_running_loop()
         self._found: asyncio.Future[None] | None = None
         self._search: asyncio.Task[None] | None = None
+        self._leaderless_since = 0.0
         self._refresh: asyncio.Task[None] | None = None
         self._pings: set[asyncio.Task[t.Any]] = set()
 
@@ -96,6 +102,20 @@
         if target.id == self.primary:
             self._on_trouble(self)
 
+    def silent(self, target: Target) -> None:
+        """Take in that a target did not answer; it is asked until it does."""
+        if target.silent_since is None:
+            self._log.write("target_silent", service=self.service, target=target.id)
+            target.silent(self._loop.time())
+            self._watch_over(self._ask_until_heard(target))
+        self.suspect(target)
+
+    async def _ask_until_heard(self, target: Target) -> None:
+        while self.targets.get(target.id) is target and target.silent_since is not None:
+            await asyncio.sleep(_SILENT_PERIOD_S)
+            if target.silent_since is not None:
+                await self.check(target)
+
     def _take_lead(self, target: Target, term: int) -> None:
         self._log.write(
             "primary_found",
@@ -117,22 +137,43 @@
             self._found.set_result(None)
 
     async def wait_for_lead(self, deadline: float) -> Target:
-        """Return the primary; raise StatementError at the deadline."""
+        """Return the primary; raise StatementError.
+
+        It answers the load of a failover: statements queue while another primary
+        may be expected, and are refused at once where this proxy is cut off.
+        """
         while (lead := self.lead) is None or lead.refused_at is not None:
             self._start_search()
             if self._found is None or self._found.done():
                 self._found = self._loop.create_future()
+            if self.cut_off:
+                raise StatementError(
+                    Failure.BUSY, f"{self.service} is out of reach", _RETRY_AFTER_S
+                )
             try:
                 async with asyncio.timeout_at(deadline):
                     await asyncio.shield(self._found)
             except TimeoutError:
                 raise StatementError(
-                    Failure.BUSY, f"{self.service} has no primary", 1.0
+                    Failure.BUSY, f"{self.service} has no primary", _RETRY_AFTER_S
                 ) from None
         return lead
 
+    def set_cut_off(self, cut_off: bool) -> None:
+        """Take in whether this proxy is cut off; waiting statements end then."""
+        self.cut_off = cut_off
+        if cut_off:
+            self._wake()
+
+    def leaderless_s(self) -> float:
+        """Return for how long no primary has been known, 0 where one is."""
+        if self._search is None or self._search.done():
+            return 0.0
+        return self._loop.time() - self._leaderless_since
+
     def _start_search(self) -> None:
         if self._search is None or self._search.done():
+            self._leaderless_since = self._loop.time()
             self._search = self._loop.create_task(self._find())
 
     async def _find(self) -> None:
@@ -167,8 +208,7 @@
             return None
         except TimeoutError:
             if target.pool.lent == 0:
-                target.silent(self._loop.time())
-                self.suspect(target)
+                self.silent(target)
             return None
         return await self._ping(target, link, deadline)
 
@@ -182,8 +222,9 @@
         except (TargetLost, TimeoutError) as exc:
             target.pool.discard(link)
             if isinstance(exc, TimeoutError):
-                target.silent(self._loop.time())
-            self.suspect(target)
+                self.silent(target)
+            else:
+                self.suspect(target)
             return None
         target.pool.release(link)
         target.heard(self._loop.time())
--- a/src/rosemaryridge/core/_pool.py
+++ b/src/rosemaryridge/core/_pool.py
@@ -15,7 +15,7 @@
 _OPEN_TIMEOUT_S = 0.8
 # After a failure the next connection is opened no sooner than this.
 _RETRY_MIN_S = 0.05
-_RETRY_MAX_S = 0.8
+_RETRY_MAX_S = 0.25
 # A target that has no connection to spare is asked again after this.
 _FULL_RETRY_S = 0.3
 
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -34,7 +34,7 @@
 # A read that has waited this long is sent to another target as well; the work of
 # most reads ends within 300 ms.
 _SECOND_TRY_S = 0.4
-# A primary that owes an answer for this long is asked whether it lives.
+# A target that owes an answer for this long is asked whether it lives.
 _CHECK_AFTER_S = 0.15
 # A link whose answer nobody waits for any more is given up after this.
 _ABANDONED_S = 5.0
@@ -160,7 +160,7 @@
         *before, fut = link.send(*preamble, Run(statement, after, name))
         started = self._loop.time()
         target.outstanding += 1
-        check = self._loop.call_later(_CHECK_AFTER_S, self._check, group, target)
+        check = self._check_later(group, target)
         try:
             async with asyncio.timeout_at(deadline):
                 answer = await fut
@@ -189,9 +189,15 @@
         else:
             target.pool.discard(link)
 
-    def _check(self, group: Group, target: Target) -> None:
-        if target.id == group.primary:
-            self.spawn(group.check(target))
+    def _check_later(self, group: Group, target: Target) -> asyncio.TimerHandle:
+        sent_at = self._loop.time()
+
+        def check() -> None:
+            # A target that has answered others since is only busy.
+            if target.heard_at < sent_at:
+                self.spawn(group.check(target))
+
+        return self._loop.call_later(_CHECK_AFTER_S, check)
 
     def spawn(self, work) -> asyncio.Task:
         """Run work that nobody waits for."""
@@ -284,7 +290,7 @@
         """Open a transaction; raise TargetLost or TimeoutError."""
         sent_at = boottime()
         (fut,) = link.send(Begin(read_only, after))
-        check = self._loop.call_later(_CHECK_AFTER_S, self._check, group, target)
+        check = self._check_later(group, target)
         try:
             async with asyncio.timeout_at(deadline):
                 answer = await fut
--- a/src/rosemaryridge/platform/callers.py
+++ b/src/rosemaryridge/platform/callers.py
@@ -204,6 +204,10 @@
         Those that still come are served once, since they were sent here.
         """
         self._draining = True
+        self.send_away()
+
+    def send_away(self) -> None:
+        """Send the callers elsewhere that are between two operations."""
         now = asyncio.get_running_loop().time()
         for connection in list(self.connections):
             if connection.can_leave(now):
