--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -93,7 +93,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._log.write("started", pid=os.getpid(), failure_domain=self._cfg.failure_domain)
+        self._log.write(
+            "started", pid=os.getpid(), failure_domain=self._cfg.failure_domain
+        )
         following = [loop.create_task(one.run()) for one in self._followers]
         for task in following:
             task.add_done_callback(self._follower_ended)
@@ -210,7 +212,11 @@
         except SettingsError as exc:
             self._log.write("settings_rejected", reason=str(exc))
             return
-        changed = [name for name in cfg.__slots__ if getattr(cfg, name) != getattr(self._cfg, name)]
+        changed = [
+            name
+            for name in cfg.__slots__
+            if getattr(cfg, name) != getattr(self._cfg, name)
+        ]
         self._log.write("settings_read", changed=changed)
         self._cfg = cfg
 
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -155,9 +155,7 @@
         pool.warm()
         return target
 
-    def _connect_failed(
-        self, group: Group, target: Target, exc: ConnectFailed
-    ) -> None:
+    def _connect_failed(self, group: Group, target: Target, exc: ConnectFailed) -> None:
         now = self._loop.time()
         if exc.full:
             target.heard(now)
--- a/src/rosemaryridge/platform/callers.py
+++ b/src/rosemaryridge/platform/callers.py
@@ -228,5 +228,3 @@
         """Close every connection."""
         for connection in list(self.connections):
             connection.cut()
-
-
