Test the platform's path against a stand-in, and mend what that found

Found: the first statement after an idle transaction was ended got MALFORMED instead of ABORTED; a write on a connection that had closed before it was sent was reported as in doubt; stopping left listeners open. The stand-in serves the store, the targets' protocol and promotion orders on loopback.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -51,14 +51,14 @@
 class Entry:
     """Wire the data path to the platform."""
 
-    def __init__(self, cfg: VmSettings, path: str):
+    def __init__(self, cfg: VmSettings, path: str, log: EventLog):
         self._cfg = cfg
         self._path = path
         self._modified = _modified(path)
         self._stopping = asyncio.Event()
         self._isolated = False
         self._isolated_at = 0.0
-        self._log = EventLog(cfg.vm)
+        self._log = log
         rng = random.Random()
         self._store = Store(cfg.store)
         self._orders = Promotions(cfg.promotions, cfg.vm)
@@ -91,7 +91,7 @@
         """Serve until SIGTERM."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stopping.set)
+            loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._log.write(
             "started", pid=os.getpid(), failure_domain=self._cfg.failure_domain
@@ -99,14 +99,30 @@
         following = [loop.create_task(one.run()) for one in self._followers]
         for task in following:
             task.add_done_callback(self._follower_ended)
-        await self._pages.start(self._cfg.readiness)
-        await self._callers.start(self._cfg.callers)
-        polling = loop.create_task(self._poll_settings())
-        watching = loop.create_task(self._watch_isolation())
-        await self._stopping.wait()
-        watching.cancel()
-        await self._drain()
-        polling.cancel()
+        tasks = [loop.create_task(self._poll_settings())]
+        tasks.append(loop.create_task(self._watch_isolation()))
+        try:
+            await self._pages.start(self._cfg.readiness)
+            await self._callers.start(self._cfg.callers)
+            await self._stopping.wait()
+            await self._drain()
+        finally:
+            for task in (*tasks, *following):
+                task.cancel()
+            self.close()
+
+    def stop(self) -> None:
+        """Begin to stop, as SIGTERM does."""
+        self._stopping.set()
+
+    def close(self) -> None:
+        """Close every connection and listener."""
+        self._callers.stop_listening()
+        self._callers.close()
+        self._pages.close()
+        self._proxy.directory.close()
+        self._store.close()
+        self._orders.close()
 
     def _follower_ended(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -129,6 +145,7 @@
             await asyncio.sleep(_DRAIN_POLL_S)
         self._log.write("stopped", callers=len(self._callers.connections))
         self._callers.close()
+        # Lets the last answers leave.
         await asyncio.sleep(_DRAIN_POLL_S)
 
     def _readiness(self) -> tuple[int, bytes]:
@@ -138,6 +155,8 @@
     async def _watch_isolation(self) -> None:
         while True:
             await asyncio.sleep(_ISOLATION_POLL_S)
+            if self._stopping.is_set():
+                continue
             directory = self._proxy.directory
             leaderless_s, silent_s = directory.leaderless_s(), directory.silent_s()
             doubt_s = max(leaderless_s, silent_s)
@@ -235,12 +254,15 @@
 
 
 async def _run(cfg: VmSettings, path: str) -> None:
-    await Entry(cfg, path).run()
+    await Entry(cfg, path, EventLog(cfg.vm)).run()
 
 
 def main() -> None:
-    """Serve callers until SIGTERM; SIGHUP reads the settings again."""
-    path = settings_path()
+    """Serve callers until SIGTERM; SIGHUP reads the settings again.
+
+    The settings' path is the only argument; without it the platform's is used.
+    """
+    path = sys.argv[1] if len(sys.argv) > 1 else settings_path()
     try:
         cfg = load_settings(path)
     except SettingsError as exc:
--- a/src/rosemaryridge/config/_settings.py
+++ b/src/rosemaryridge/config/_settings.py
@@ -9,8 +9,8 @@
 from rosemaryridge.fields import Share
 from rosemaryridge.fields import setting
 from rosemaryridge.model import Endpoint
-from rosemaryridge.peer import BusSettings
 from rosemaryridge.objects import PlatformSettings
+from rosemaryridge.peer import BusSettings
 from rosemaryridge.telemetry import LogLevel
 
 _KIB = 1024
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -119,6 +119,12 @@
                 target.removed_at = self._loop.time()
                 self._loop.call_later(_REMOVAL_GRACE_S, self._expire, group, target)
 
+    def close(self) -> None:
+        """Close the connections to every target."""
+        for group in self.groups.values():
+            for target in group.targets.values():
+                target.pool.close()
+
     def _expire(self, group: Group, target: Target) -> None:
         if group.targets.get(target.id) is not target or target.removed_at is None:
             return
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -6,6 +6,7 @@
 from rosemaryridge.core._boottime import boottime
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._freshness import PrimaryHistory
+from rosemaryridge.core._pool import PoolClosed
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
 from rosemaryridge.core._statement import StatementError
@@ -16,7 +17,6 @@
 from rosemaryridge.core.commands import Rollback
 from rosemaryridge.model import ORIGIN
 from rosemaryridge.model import Position
-from rosemaryridge.core._pool import PoolClosed
 
 # Opening a transaction takes no slot, so a healthy target answers within two
 # network delays; the longest known is 40 ms.
--- a/src/rosemaryridge/core/_pool.py
+++ b/src/rosemaryridge/core/_pool.py
@@ -5,10 +5,10 @@
 import itertools
 import typing as t
 
+from rosemaryridge.core._target_info import TargetInfo
 from rosemaryridge.core.commands import Connect
 from rosemaryridge.core.commands import ConnectFailed
 from rosemaryridge.core.commands import Link
-from rosemaryridge.core._target_info import TargetInfo
 
 # A target in another region answers within 2 x 20 ms and takes 27 ms to open;
 # SYN and START go one after the other, and its slots may be taken.
@@ -136,6 +136,8 @@
         for link in self._idle:
             link.close()
         self._idle.clear()
+        for task in self._tasks:
+            task.cancel()
         self._fail(ConnectFailed("the target has left", wrong=True))
 
     def _replace(self) -> None:
@@ -165,6 +167,9 @@
             if wait_s:
                 await asyncio.sleep(wait_s)
             link = await self._connect(self.info, _OPEN_TIMEOUT_S)
+        except asyncio.CancelledError:
+            self._opening -= 1
+            raise
         except ConnectFailed as exc:
             self._opening -= 1
             self._failed(exc)
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -118,6 +118,9 @@
             )
         except TargetLost as exc:
             target.pool.discard(link)
+            group.suspect(target)
+            if not exc.sent:
+                return Answer(failure=Failure.BUSY, detail=f"{target.id}: {exc}")
             raise StatementError(
                 Failure.UNKNOWN_OUTCOME, f"{target.id} was lost: {exc}"
             ) from None
--- a/src/rosemaryridge/core/_statement.py
+++ b/src/rosemaryridge/core/_statement.py
@@ -130,4 +130,11 @@
 
 
 class TargetLost(Exception):
-    """Report that a target's connection ended before the answer; it may have run."""
+    """Report that a target's connection ended before the answer.
+
+    The command may have run, unless the connection had ended before it was `sent`.
+    """
+
+    def __init__(self, reason: str, *, sent: bool = True):
+        super().__init__(reason)
+        self.sent = sent
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -38,7 +38,9 @@
         read_only: bool,
         idle_s: float,
     ):
+        # Whether the caller has been told that the transaction failed.
         self.failed = False
+        self._ended = False
         self._runner = runner
         self._session = session
         self._route = route
@@ -51,6 +53,8 @@
         self._expired = False
         self._timer: asyncio.TimerHandle | None = None
         self._opening: asyncio.Task[None] = runner.spawn(self._open())
+        # A caller that ends the transaction before its first statement never asks.
+        self._opening.add_done_callback(lambda task: task.exception())
         self._wait_for_caller()
 
     async def run(self, statement: Statement) -> Answer:
@@ -60,10 +64,12 @@
         try:
             answer = await self._run(statement, deadline)
         except StatementError:
-            self._fail()
+            self.failed = True
+            self._end()
             raise
         if answer.state is not TransactionState.OPEN:
-            self._fail()
+            self.failed = True
+            self._end()
             return _with_state(answer, TransactionState.FAILED)
         self._wait_for_caller()
         return answer
@@ -108,7 +114,7 @@
         try:
             return await self._commit(statement, deadline)
         except StatementError:
-            self._fail()
+            self._end()
             raise
 
     async def _commit(self, statement: Statement, deadline: float) -> Answer:
@@ -150,15 +156,15 @@
     async def roll_back(self) -> None:
         """End the transaction without a change."""
         self._caller_came()
-        self._fail()
+        self._end()
 
     def abandon(self) -> None:
         """End the transaction of a caller that has left."""
         self._caller_came()
-        self._fail()
+        self._end()
 
-    def _fail(self) -> None:
-        self.failed = True
+    def _end(self) -> None:
+        self._ended = True
         if not self._opening.done():
             self._opening.add_done_callback(lambda _: self._give_back())
         else:
@@ -191,7 +197,7 @@
         deadline = self._loop.time() + self._route.timeout_s
         tried: set[str] = set()
         retry_s = _RETRY_MIN_S
-        while not self.failed:
+        while not self._ended:
             answer = await self._open_once(tried, deadline)
             if answer is not None and answer.ok:
                 return
@@ -248,7 +254,7 @@
 
     def _expire(self) -> None:
         self._expired = True
-        self._fail()
+        self._end()
 
 
 def _with_state(answer: Answer, state: TransactionState) -> Answer:
--- a/src/rosemaryridge/group/_service.py
+++ b/src/rosemaryridge/group/_service.py
@@ -25,8 +25,8 @@
 from rosemaryridge.model import Position
 from rosemaryridge.model import TargetStatus
 from rosemaryridge.model import target_key
-from rosemaryridge.peer import PeerBus
 from rosemaryridge.objects import ObjectStore
+from rosemaryridge.peer import PeerBus
 from rosemaryridge.telemetry import GROUP_TERM
 from rosemaryridge.telemetry import Log
 from rosemaryridge.telemetry import Metrics
--- a/src/rosemaryridge/membership/_service.py
+++ b/src/rosemaryridge/membership/_service.py
@@ -19,9 +19,9 @@
 from rosemaryridge.membership._table import MemberTable
 from rosemaryridge.membership._vms import VmList
 from rosemaryridge.model import Endpoint
-from rosemaryridge.peer import PeerIdentity
 from rosemaryridge.objects import ObjectStore
 from rosemaryridge.objects import VmRecord
+from rosemaryridge.peer import PeerIdentity
 from rosemaryridge.timer import Subscription
 from rosemaryridge.timer import TimerService
 
--- a/src/rosemaryridge/platform/callers.py
+++ b/src/rosemaryridge/platform/callers.py
@@ -53,11 +53,13 @@
         return self._between or now - self._rests_since > _PREPARING_S
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the opened connection."""
         self._transport = t.cast(asyncio.Transport, transport)
         keep_alive(transport)
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """End what the connection was doing."""
         self._transport = None
         self._server.connections.discard(self)
         self.resume_writing()
@@ -66,6 +68,7 @@
             self._caller.leave()
 
     def data_received(self, data: bytes) -> None:
+        """Take in what the peer sent."""
         try:
             self._waiting.extend(self._reader.feed(data))
         except wire.MessageTooLarge as exc:
@@ -78,10 +81,12 @@
         return None
 
     def pause_writing(self) -> None:
+        """Hold answers back while the peer reads too slowly."""
         if self._writable is None:
             self._writable = asyncio.get_running_loop().create_future()
 
     def resume_writing(self) -> None:
+        """Send answers again."""
         writable, self._writable = self._writable, None
         if writable is not None and not writable.done():
             writable.set_result(None)
--- a/src/rosemaryridge/platform/http.py
+++ b/src/rosemaryridge/platform/http.py
@@ -51,14 +51,17 @@
         return self._transport is not None and self._pending is None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the opened connection."""
         self._transport = t.cast(asyncio.Transport, transport)
         keep_alive(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """End what the connection was doing."""
         self._transport = None
         self._fail("the connection was closed")
 
     def data_received(self, data: bytes) -> None:
+        """Take in what the peer sent."""
         if self._parser is None:
             return self.close()
         try:
@@ -207,9 +210,11 @@
         self._path = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the opened connection."""
         self._transport = t.cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Take in what the peer sent."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
--- a/src/rosemaryridge/platform/target.py
+++ b/src/rosemaryridge/platform/target.py
@@ -75,10 +75,12 @@
         return bool(self._pending)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the opened connection."""
         self._transport = t.cast(asyncio.Transport, transport)
         keep_alive(transport)
 
     def data_received(self, data: bytes) -> None:
+        """Take in what the peer sent."""
         try:
             answers = self._reader.feed(data)
         except wire.MalformedMessage:
@@ -92,6 +94,7 @@
         return None
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """End what the connection was doing."""
         self._transport = None
         refusal = self._reader.refusal()
         text = f"{refusal[0].value}: {refusal[1]}" if refusal else str(exc or "closed")
@@ -111,7 +114,7 @@
         futures = [self._loop.create_future() for _ in batch]
         if self._transport is None:
             for fut in futures:
-                fut.set_exception(TargetLost("the connection was closed before"))
+                fut.set_exception(TargetLost("the connection was closed", sent=False))
                 fut.exception()
             return futures
         self._pending.extend(futures)
@@ -130,7 +133,7 @@
         """Return the target's condition, None where it has no slot to tell it."""
         fut = self._loop.create_future()
         if self._transport is None:
-            raise TargetLost("the connection was closed before")
+            raise TargetLost("the connection was closed", sent=False)
         self._pending.append(fut)
         self._transport.write(wire.encode_query(wire.STATUS))
         return wire.decode_condition(await fut)
--- a/src/rosemaryridge/pool/_lease_service.py
+++ b/src/rosemaryridge/pool/_lease_service.py
@@ -6,9 +6,9 @@
 
 from rosemaryridge.config import PoolSettings
 from rosemaryridge.exceptions import PeerUnavailable
+from rosemaryridge.objects import ObjectStore
 from rosemaryridge.peer import PeerBus
 from rosemaryridge.peer import PeerIdentity
-from rosemaryridge.objects import ObjectStore
 from rosemaryridge.pool._grantor import Grantor
 from rosemaryridge.pool._holder import Key
 from rosemaryridge.pool._holder import LeaseHolder
--- a/src/rosemaryridge/proxy/_proxy.py
+++ b/src/rosemaryridge/proxy/_proxy.py
@@ -11,9 +11,9 @@
 from rosemaryridge.config import reload_settings
 from rosemaryridge.group import GroupService
 from rosemaryridge.membership import Membership
+from rosemaryridge.objects import HttpObjectStore
 from rosemaryridge.peer import GrpcPeerBus
 from rosemaryridge.peer import PeerIdentity
-from rosemaryridge.objects import HttpObjectStore
 from rosemaryridge.pool import LeaseService
 from rosemaryridge.pool import Pools
 from rosemaryridge.pool import RetryBudget
--- a/src/rosemaryridge/routing/_router.py
+++ b/src/rosemaryridge/routing/_router.py
@@ -8,12 +8,12 @@
 from rosemaryridge.codes import Code
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.config import TargetConfig
+from rosemaryridge.core import PrimaryHistory
 from rosemaryridge.exceptions import Refusal
 from rosemaryridge.model import ORIGIN
 from rosemaryridge.model import Position
 from rosemaryridge.model import Role
 from rosemaryridge.model import target_key
-from rosemaryridge.core import PrimaryHistory
 from rosemaryridge.routing._health import TargetHealth
 from rosemaryridge.routing._policies import find_policy
 from rosemaryridge.routing._view import GroupView
--- /dev/null
+++ b/src/rosemaryridge_testbed/site/_site.py
@@ -0,0 +1,185 @@
+"""Run a whole platform on loopback: store, targets and promotion orders."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import time
+import typing as t
+
+from aiohttp import web
+
+from rosemaryridge_testbed.site._store import MetadataStore
+from rosemaryridge_testbed.site._target import SiteGroup
+from rosemaryridge_testbed.site._target import SiteTarget
+
+ROUTES = {"orders": "primary", "browse": "bounded_staleness", "own": "read_your_writes"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SiteOptions:
+    """Size a platform."""
+
+    services: tuple[str, ...] = ("books",)
+    copies: int = 3
+    lag_s: float = 0.01
+    promote_s: float = 0.1
+    max_connections: int = 45
+    timeout_ms: int = 1000
+    max_staleness_ms: int = 1500
+    tx_idle_ms: int = 500
+
+
+class Site:
+    """Own the store, the targets and the promotion calls of one platform."""
+
+    def __init__(self, options: SiteOptions = SiteOptions()):
+        self.options = options
+        self.store = MetadataStore()
+        self.groups: dict[str, SiteGroup] = {}
+        self.promotions: list[tuple[str, str, str, int]] = []
+        self.promotions_lost = 0
+        self.store_address = ""
+        self.orders_address = ""
+        self._fences: dict[str, int] = {}
+        self._runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Start everything and publish a first configuration."""
+        self.store_address = await self._serve(self.store.application())
+        orders = web.Application()
+        orders.router.add_post("/promote", self._promote)
+        self.orders_address = await self._serve(orders)
+        for service in self.options.services:
+            await self._start_group(service)
+        self.publish(1)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for group in self.groups.values():
+            for target in group.targets.values():
+                await target.crash()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def publish(
+        self, version: int, without: t.Collection[str] = (), **fields: t.Any
+    ) -> None:
+        """Publish a configuration, without some databases."""
+        routes = [
+            self._route(f"{service}-{name}", service, kind) | fields
+            for service in self.options.services
+            for name, kind in ROUTES.items()
+            if f"{service}-{name}" not in without
+        ]
+        services = [
+            {"name": service, "max_conns": self.options.max_connections}
+            for service in self.options.services
+        ]
+        limits = {"tx_idle_ms": self.options.tx_idle_ms}
+        spec = {
+            "version": version,
+            "routes": routes,
+            "services": services,
+            "limits": limits,
+        }
+        self.store.write("config", "main", spec)
+
+    def settings(self, path: pathlib.Path, vm: str, front: int, ready: int) -> None:
+        """Write the settings file of one proxy."""
+        data = {
+            "node_name": vm,
+            "zone": "a",
+            "region": "r",
+            "zones": {"a": "r"},
+            "bind_addrs": {
+                "front": f"127.0.0.1:{front}",
+                "ready": f"127.0.0.1:{ready}",
+            },
+            "internal_port_range": [0, 0],
+            "limits": {"memory_mb": 222, "max_fds": 1600},
+            "heartbeat_ms": 1200,
+            "bounds": {"grace_s": 6, "drain_ms": 7000},
+            "platform": {"address": self.store_address},
+            "cloud_api": {"address": self.orders_address, "duty_per_s": 50.0},
+        }
+        path.write_text(json.dumps(data))
+
+    def register(self, target: SiteTarget) -> None:
+        """Write a target's entry into the store."""
+        spec = {
+            "service": target.group.service,
+            "address": target.address,
+            "zone": "a",
+            "version": "v1",
+            "capacity": 3,
+            "phase": "draining" if target.draining else "ready",
+            "warmup_left_ms": 0,
+            "db_role": "primary" if target.leads else "replica",
+            "sequence": 1,
+            "born": 1,
+        }
+        self.store.write("servers", target.name, spec)
+
+    async def _start_group(self, service: str) -> None:
+        group = SiteGroup(service, self.options.lag_s, self.options.promote_s)
+        self.groups[service] = group
+        for number in range(self.options.copies):
+            target = SiteTarget(
+                f"{service}-{number}",
+                group,
+                max_connections=self.options.max_connections,
+                report=self.register,
+            )
+            await target.start()
+        group.primary = f"{service}-0"
+        for target in group.targets.values():
+            self.register(target)
+
+    async def _serve(self, app: web.Application) -> str:
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self._runners.append(runner)
+        host, port = runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    async def _promote(self, request: web.Request) -> web.Response:
+        body = json.loads(await request.read())
+        service, name = body["service"], body["id"]
+        holder = request.headers["X-Rosemaryridge-Lease-Holder"]
+        fence = int(request.headers["X-Rosemaryridge-Fencing-Token"])
+        self.promotions.append((service, name, holder, fence))
+        if fence < self._fences.get(service, 0):
+            return web.Response(status=409)
+        self._fences[service] = fence
+        if self.promotions_lost:
+            self.promotions_lost -= 1
+            request.transport.abort()
+            return web.Response()
+        task = asyncio.ensure_future(self.groups[service].promote(name))
+        task.add_done_callback(lambda done: done.exception())
+        return web.Response()
+
+    def _route(self, database: str, service: str, kind: str) -> dict[str, t.Any]:
+        return {
+            "name": f"r-{database}",
+            "database": database,
+            "path_prefix": "/",
+            "type": kind,
+            "timeout_ms": self.options.timeout_ms,
+            "target_latency_ms": 500,
+            "priority": 1,
+            "service": service,
+            "retry_attempts": 2,
+            "max_staleness_ms": self.options.max_staleness_ms,
+        }
+
+
+async def until(condition: t.Callable[[], t.Any], timeout_s: float = 5.0) -> None:
+    """Wait until something holds; raise TimeoutError."""
+    end = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > end:
+            raise TimeoutError("the condition does not hold")
+        await asyncio.sleep(0.01)
--- /dev/null
+++ b/src/rosemaryridge_testbed/site/_store.py
@@ -0,0 +1,167 @@
+"""Serve objects by kind and name, with watches and faults."""
+
+import asyncio
+import json
+import time
+import typing as t
+
+from aiohttp import web
+
+Json = dict[str, t.Any]
+_ROUTE = "/rosemaryridge/objects/{kind}"
+_PAGE = 500
+
+
+class MetadataStore:
+    """Keep objects and their history; `fault` names the outage in force.
+
+    Faults: `busy` answers 503, `many` 429, `silent` never answers, `lost` makes the
+    change and drops the answer.
+    """
+
+    def __init__(self, page: int = _PAGE):
+        self.fault = ""
+        self.calls = 0
+        self.delay_s = 0.0
+        self.revision = 1
+        self.objects: dict[str, dict[str, Json]] = {}
+        self._page = page
+        self._history: list[tuple[int, str, Json, bool]] = []
+        self._forgotten = 0
+        self._changed: asyncio.Event = asyncio.Event()
+
+    def application(self) -> web.Application:
+        """Return the HTTP interface."""
+        app = web.Application()
+        app.router.add_get(_ROUTE, self._list)
+        app.router.add_get(_ROUTE + "/{name}", self._get)
+        app.router.add_post(_ROUTE, self._create)
+        app.router.add_put(_ROUTE + "/{name}", self._replace)
+        app.router.add_delete(_ROUTE + "/{name}", self._delete)
+        app.middlewares.append(self._faulty)
+        return app
+
+    def write(self, kind: str, name: str, spec: t.Any) -> int:
+        """Write as the operator or a target does, at once; return the revision."""
+        self.revision += 1
+        meta = {
+            "name": name,
+            "revision": self.revision,
+            "created_at": int(time.time() * 1000),
+            "finalizers": [],
+            "deleting": False,
+        }
+        item = {"meta": meta, "spec": spec, "status": None}
+        self.objects.setdefault(kind, {})[name] = item
+        self._record(kind, item, gone=False)
+        return self.revision
+
+    def erase(self, kind: str, name: str) -> None:
+        """Remove an object as an expiry does."""
+        item = self.objects.get(kind, {}).pop(name, None)
+        if item is not None:
+            self.revision += 1
+            self._record(kind, item, gone=True)
+
+    def compact(self) -> None:
+        """Forget the history and cut every watch."""
+        self._history.clear()
+        self._forgotten = self.revision
+        self._wake()
+
+    def _record(self, kind: str, item: Json, gone: bool) -> None:
+        self._history.append((self.revision, kind, item, gone))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    @web.middleware
+    async def _faulty(
+        self, request: web.Request, handler: t.Callable
+    ) -> web.StreamResponse:
+        self.calls += 1
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if self.fault == "busy":
+            return web.Response(status=503)
+        if self.fault == "many":
+            return web.Response(status=429)
+        if self.fault == "silent":
+            await asyncio.sleep(3600.0)
+        response = await handler(request)
+        if self.fault == "lost" and request.method != "GET":
+            request.transport.abort()
+        return response
+
+    async def _list(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await self._watch(kind, request)
+        after = request.query.get("after", "")
+        found = sorted(self.objects.get(kind, {}).items())
+        items = [item for name, item in found if name > after]
+        page = {
+            "items": items[: self._page],
+            "has_more": len(items) > self._page,
+            "store_revision": self.revision,
+        }
+        return web.json_response(page)
+
+    async def _watch(self, kind: str, request: web.Request) -> web.Response:
+        since = int(request.query["watch"])
+        until = time.monotonic() + int(request.query.get("wait_ms", "0")) / 1000.0
+        while True:
+            if since < self._forgotten:
+                return web.Response(status=410)
+            events = [
+                {"object": item, "deleted": gone}
+                for revision, changed, item, gone in self._history
+                if changed == kind and revision > since
+            ]
+            left_s = until - time.monotonic()
+            if events or left_s <= 0:
+                body = {"events": events, "store_revision": self.revision}
+                return web.json_response(body)
+            changed_event = self._changed
+            try:
+                async with asyncio.timeout(left_s):
+                    await changed_event.wait()
+            except TimeoutError:
+                continue
+
+    async def _get(self, request: web.Request) -> web.Response:
+        item = self._find(request)
+        if item is None:
+            return web.Response(status=404)
+        return web.json_response(item)
+
+    async def _create(self, request: web.Request) -> web.Response:
+        body = json.loads(await request.read())
+        kind, name = request.match_info["kind"], body["meta"]["name"]
+        stored = self.objects.get(kind, {}).get(name)
+        if stored is not None:
+            return web.json_response(stored, status=409)
+        self.write(kind, name, body.get("spec"))
+        return web.json_response(self.objects[kind][name])
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        body = json.loads(await request.read())
+        stored = self._find(request)
+        if stored is None:
+            return web.Response(status=404)
+        wanted = body["meta"].get("revision")
+        if wanted is not None and wanted != stored["meta"]["revision"]:
+            return web.json_response(stored, status=409)
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        self.write(kind, name, body.get("spec"))
+        return web.json_response(self.objects[kind][name])
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        self.erase(request.match_info["kind"], request.match_info["name"])
+        return web.Response(status=200)
+
+    def _find(self, request: web.Request) -> Json | None:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        return self.objects.get(kind, {}).get(name)
--- /dev/null
+++ b/tests/test_core_session.py
@@ -0,0 +1,132 @@
+import unittest
+
+from rosemaryridge.core import Consistency
+from rosemaryridge.core import Failure
+from rosemaryridge.core import Route
+from rosemaryridge.core import Statement
+from rosemaryridge.core import StatementError
+from rosemaryridge.core import Verb
+from rosemaryridge.core._session import PreparedNames
+from rosemaryridge.core._session import Session
+from rosemaryridge.core._session import needed_position
+from rosemaryridge.core.commands import Prepare
+from rosemaryridge.core.commands import Reset
+from rosemaryridge.core.commands import SetValue
+from rosemaryridge.model import Position
+
+ROUTE = Route(b"db", "books", Consistency.SESSION, 1.0, 0.5, 1, 2.5)
+
+
+class StubLink:
+    def __init__(self):
+        self.values = {}
+        self.prepared = set()
+
+
+def set_value(name, value):
+    return Statement(b"1", Verb.SET, b"", name, value)
+
+
+def prepare(name, shape, read_only=True):
+    return Statement(b"1", Verb.PREPARE, b"", name, shape, read_only)
+
+
+def execute(name):
+    return Statement(b"1", Verb.EXECUTE, b"", name, b"1a4")
+
+
+class NeededPositionTest(unittest.TestCase):
+    def need(self, written, floor):
+        session = Session(b"db")
+        session.written = written
+        return needed_position(session, ROUTE, floor)
+
+    def test_a_commit_of_a_newer_term_than_the_floor_is_needed(self):
+        # A floor from before a promotion once hid the session's own commit.
+        floor = (Position(1, 212), 2.0)
+        self.assertEqual(self.need(Position(2, 249), floor), (Position(2, 249), 0.0))
+
+    def test_a_newer_floor_holds_the_sessions_commits(self):
+        floor = (Position(2, 3), 0.5)
+        self.assertEqual(self.need(Position(1, 900), floor), floor)
+
+    def test_a_session_that_wrote_nothing_needs_the_floor(self):
+        floor = (Position(1, 7), 0.5)
+        self.assertEqual(self.need(Position(), floor), floor)
+
+
+class PreambleTest(unittest.TestCase):
+    def setUp(self):
+        self.names = PreparedNames()
+        self.link = StubLink()
+
+    def test_values_are_set_once_and_changed_alone(self):
+        session = Session(b"db")
+        session.set_value(set_value(b"a", b"1"))
+        session.set_value(set_value(b"b", b"2"))
+        first, _ = session.preamble(self.link, None, self.names)
+        self.assertEqual(first, [SetValue(b"a", b"1"), SetValue(b"b", b"2")])
+        session.set_value(set_value(b"b", b"3"))
+        second, _ = session.preamble(self.link, None, self.names)
+        self.assertEqual(second, [SetValue(b"b", b"3")])
+        third, _ = session.preamble(self.link, None, self.names)
+        self.assertEqual(third, [])
+
+    def test_another_sessions_values_are_reset(self):
+        one, other = Session(b"db"), Session(b"db")
+        one.set_value(set_value(b"a", b"1"))
+        one.preamble(self.link, None, self.names)
+        other.set_value(set_value(b"b", b"2"))
+        commands, _ = other.preamble(self.link, None, self.names)
+        self.assertEqual(commands, [Reset(), SetValue(b"b", b"2")])
+        self.assertEqual(self.link.values, {b"b": b"2"})
+
+    def test_equal_names_of_two_sessions_run_their_own_shapes(self):
+        one, other = Session(b"db"), Session(b"db")
+        one.prepare(prepare(b"s1", b"q1"))
+        other.prepare(prepare(b"s1", b"q2"))
+        first, name = one.preamble(self.link, execute(b"s1"), self.names)
+        second, other_name = other.preamble(self.link, execute(b"s1"), self.names)
+        self.assertEqual(first, [Prepare(name, True, b"q1")])
+        self.assertEqual(second, [Prepare(other_name, True, b"q2")])
+        self.assertNotEqual(name, other_name)
+
+    def test_a_shape_is_prepared_once_a_connection(self):
+        session = Session(b"db")
+        session.prepare(prepare(b"s1", b"q1"))
+        session.prepare(prepare(b"s2", b"q1"))
+        session.preamble(self.link, execute(b"s1"), self.names)
+        commands, _ = session.preamble(self.link, execute(b"s2"), self.names)
+        self.assertEqual(commands, [])
+
+    def test_a_reset_forgets_prepared_shapes(self):
+        one, other = Session(b"db"), Session(b"db")
+        one.set_value(set_value(b"a", b"1"))
+        other.prepare(prepare(b"s1", b"q1"))
+        other.preamble(self.link, execute(b"s1"), self.names)
+        one.preamble(self.link, None, self.names)
+        commands, _ = other.preamble(self.link, execute(b"s1"), self.names)
+        self.assertEqual([type(one) for one in commands], [Reset, Prepare])
+
+    def test_an_unknown_name_is_refused_here(self):
+        session = Session(b"db")
+        for work in (
+            lambda: session.preamble(self.link, execute(b"s1"), self.names),
+            lambda: session.is_read(execute(b"s1")),
+            lambda: session.deallocate(execute(b"s1")),
+        ):
+            with self.assertRaises(StatementError) as caught:
+                work()
+            self.assertIs(caught.exception.failure, Failure.UNKNOWN_STATEMENT)
+
+    def test_a_name_is_never_given_to_two_shapes(self):
+        names = PreparedNames()
+        given = {names.name(True, b"q%d" % n) for n in range(5000)}
+        self.assertEqual(len(given), 5000)
+
+    def test_a_session_holds_only_so_much(self):
+        session = Session(b"db")
+        with self.assertRaises(StatementError) as caught:
+            for number in range(2000):
+                session.set_value(set_value(b"v%d" % number, b"1"))
+        self.assertIs(caught.exception.failure, Failure.TOO_LARGE)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,6 +8,7 @@
 from rosemaryridge import codes
 from rosemaryridge.config import ServiceConfig
 from rosemaryridge.config import TargetConfig
+from rosemaryridge.core import PrimaryHistory
 from rosemaryridge.exceptions import Refusal
 from rosemaryridge.model import Endpoint
 from rosemaryridge.model import Position
@@ -16,7 +17,6 @@
 from rosemaryridge.routing import Need
 from rosemaryridge.routing import Router
 from rosemaryridge.routing import policy_names
-from rosemaryridge.core import PrimaryHistory
 from rosemaryridge.telemetry import Metrics
 from rosemaryridge.timer import ManualTimer
 
