Narrow each target's window by its refusals, give idle connections back, count proxies

Cause (grown deployments): 111,517 of 158,349 statements were refused for a full queue and asked again 30 ms later; 97 proxies kept connections that 89 had to do for. A refusal now narrows a proxy's window at that target, and a statement whose turn comes after its deadline is refused at once; a refused connection shortens how long idle ones are kept. Proxies register in the store and divide connections by their count.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -8,6 +8,7 @@
 
 import uvloop
 
+from rosemaryridge.core import Census
 from rosemaryridge.core import EventLog
 from rosemaryridge.core import Failover
 from rosemaryridge.core import Follower
@@ -44,6 +45,8 @@
 _ISOLATION_POLL_S = 0.25
 # A healthy store answers in 4 ms, a slow one seldom takes longer than this.
 _STORE_PROBE_S = 0.4
+# While the store is in doubt it is asked this often; each call is priced.
+_STORE_PROBE_PERIOD_S = 1.0
 # No object has this name, so that the answer is short.
 _PROBE_NAME = "probe"
 
@@ -66,6 +69,7 @@
         self._proxy = Proxy(
             cfg.failure_domain, target.connect, rng, self._log, self._failover.trouble
         )
+        self._census = Census(cfg.vm, self._store, self._counted, self._log, rng)
         self._callers = CallerServer(self._proxy)
         self._pages = HttpServer({"/rosemaryridge/readiness": self._readiness})
         self._followers = (
@@ -96,7 +100,9 @@
         self._log.write(
             "started", pid=os.getpid(), failure_domain=self._cfg.failure_domain
         )
-        following = [loop.create_task(one.run()) for one in self._followers]
+        following = [
+            loop.create_task(one.run()) for one in (*self._followers, self._census)
+        ]
         for task in following:
             task.add_done_callback(self._follower_ended)
         tasks = [loop.create_task(self._poll_settings())]
@@ -161,6 +167,8 @@
             leaderless_s, silent_s = directory.leaderless_s(), directory.silent_s()
             doubt_s = max(leaderless_s, silent_s)
             isolated = doubt_s > _ISOLATED_S and not await self._reach_store()
+            if doubt_s > _ISOLATED_S and not isolated:
+                await asyncio.sleep(_STORE_PROBE_PERIOD_S)
             if isolated and self._isolated_for_s() > _BALANCER_S:
                 # A cut this long may last; callers are led elsewhere by now.
                 self._proxy.directory.set_cut_off(True)
@@ -224,6 +232,10 @@
             self._log.write("target_unreadable", reason=str(exc))
             return None
 
+    def _counted(self, proxies: int) -> None:
+        self._proxy.set_proxies(proxies)
+        self._failover.proxies = proxies
+
     def _reload(self) -> None:
         self._modified = _modified(self._path)
         try:
--- /dev/null
+++ b/src/rosemaryridge/core/_admission.py
@@ -0,0 +1,85 @@
+"""Decide how many statements run at a target at once, and who need not wait."""
+
+# A window grows by one after about this many answers a lane.
+_GROWTH_ANSWERS = 8.0
+# A window shrinks to this share when the target is full, at most once a pause.
+_SHRINK = 0.7
+_SHRINK_PAUSE_S = 0.1
+# How much one statement moves the average time that a lane is held.
+_HELD_WEIGHT = 0.1
+# What a first statement is expected to take.
+_FIRST_HELD_S = 0.05
+
+
+class Admission:
+    """Share a target's slots among proxies without a call a request.
+
+    It answers a burst beyond the slots: a target that refuses for a full queue
+    narrows the window of each proxy, answers widen it again, and a statement whose
+    turn would come after its deadline is refused at once.
+    """
+
+    __slots__ = ("_held_s", "_most", "_shrunk_at", "_window")
+
+    def __init__(self, most: int):
+        self._most = max(1, most)
+        self._window = float(self._most)
+        self._held_s = _FIRST_HELD_S
+        self._shrunk_at = float("-inf")
+
+    @property
+    def lanes(self) -> int:
+        """Return how many statements may run at once."""
+        return max(1, int(self._window))
+
+    def resize(self, most: int) -> None:
+        """Change how many connections there may be."""
+        grown = most > self._most
+        self._most = max(1, most)
+        self._window = float(most) if grown else min(self._window, self._most)
+
+    def full(self, now: float) -> None:
+        """Take in that the target refused a statement for a full queue."""
+        if now - self._shrunk_at >= _SHRINK_PAUSE_S:
+            self._window = max(1.0, _SHRINK * self._window)
+            self._shrunk_at = now
+
+    def answered(self, held_s: float) -> None:
+        """Take in that a statement ran, and for how long it held its lane."""
+        self._held_s += _HELD_WEIGHT * (held_s - self._held_s)
+        grown = self._window + 1.0 / (_GROWTH_ANSWERS * self._window)
+        self._window = min(float(self._most), grown)
+
+    def wait_s(self, ahead: int) -> float:
+        """Return when a lane comes free for a statement with some ahead of it."""
+        return (ahead + 1) * self._held_s / self.lanes
+
+
+# Targets close connections that were idle for 60 s by themselves.
+_KEEP_MOST_S = 50.0
+_KEEP_FIRST_FULL_S = 4.0
+_KEEP_LEAST_S = 0.25
+# After a refusal, idle connections are kept longer again at this rate.
+_KEEP_GROWTH = 1.05
+
+
+class Keeping:
+    """Decide how long an idle connection is kept while connections are scarce.
+
+    It answers more proxies than a target has connections: each refusal for a full
+    target shortens the time, each connection opened lengthens it.
+    """
+
+    __slots__ = ("keep_s",)
+
+    def __init__(self) -> None:
+        self.keep_s = _KEEP_MOST_S
+
+    def refused(self) -> None:
+        """Take in that the target has no connection to spare."""
+        shorter = min(self.keep_s, _KEEP_FIRST_FULL_S) / 2.0
+        self.keep_s = max(_KEEP_LEAST_S, shorter)
+
+    def opened(self) -> None:
+        """Take in that the target had a connection to spare."""
+        self.keep_s = min(_KEEP_MOST_S, _KEEP_GROWTH * self.keep_s)
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -28,6 +28,7 @@
         log: EventLog,
         on_trouble: t.Callable[[Group], None],
         share: t.Callable[[int], int],
+        proxies: t.Callable[[], int],
     ):
         self.groups: dict[str, Group] = {}
         self.known = False
@@ -35,6 +36,7 @@
         self._log = log
         self._on_trouble = on_trouble
         self._share = share
+        self._proxies = proxies
         self._limits: t.Mapping[str, int] = {}
         self._loop = asyncio.get_running_loop()
 
@@ -77,7 +79,7 @@
         """Divide each target's connections anew."""
         for group in self.groups.values():
             for target in group.targets.values():
-                target.pool.limit = self._limit(group.service)
+                target.pool.resize(self._limit(group.service))
 
     def replace(self, infos: t.Iterable[TargetInfo]) -> None:
         """Take over the whole list of targets."""
@@ -158,7 +160,9 @@
             endpoint=info.endpoint,
             claims_primary=info.claims_primary,
         )
-        pool.warm()
+        # Where proxies outnumber connections, they are opened only for work.
+        if self._limits.get(info.service, self._proxies()) >= self._proxies():
+            pool.warm()
         return target
 
     def _connect_failed(self, group: Group, target: Target, exc: ConnectFailed) -> None:
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -10,6 +10,7 @@
 from rosemaryridge.core._group import PING_TIMEOUT_S
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._pool import PoolClosed
+from rosemaryridge.core._pool import TurnTooLate
 from rosemaryridge.core._statement import TargetCondition
 from rosemaryridge.core._statement import TargetLost
 from rosemaryridge.core._target import Target
@@ -30,8 +31,9 @@
 _PROMOTION_S = 3.0
 _POLL_S = 0.06
 _RETRY_S = 0.3
-# Proxies that see the same failure at the same time start this far apart.
-_SPREAD_S = 0.06
+# Proxies that see the same failure start this far apart for each of them, so that
+# one of many acts first within some tens of ms and few others act at all.
+_SPREAD_S = 0.02
 
 
 class Reason(enum.Enum):
@@ -149,6 +151,8 @@
         log: EventLog,
         rng: random.Random,
     ):
+        # Among how many proxies the watch over the groups is shared.
+        self.proxies = 1
         self._vm = vm
         self._store = store
         self._orders = orders
@@ -169,7 +173,7 @@
     async def _handle(self, group: Group) -> None:
         loop = asyncio.get_running_loop()
         since = loop.time()
-        await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S))
+        await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S * self.proxies))
         while not self.stopping:
             reason = reason_to_replace(group, loop.time())
             if reason is None:
@@ -241,16 +245,16 @@
     async def _condition(self, target: Target) -> TargetCondition | None:
         deadline = asyncio.get_running_loop().time() + 2 * PING_TIMEOUT_S
         try:
-            link = await target.pool.acquire(-1, deadline)
-        except (PoolClosed, TimeoutError):
+            link = await target.pool.acquire(-1, deadline, pinned=True)
+        except (PoolClosed, TurnTooLate, TimeoutError):
             return None
         try:
             async with asyncio.timeout_at(deadline):
                 condition = await link.ask_condition()
         except (TargetLost, TimeoutError):
-            target.pool.discard(link)
+            target.pool.discard(link, pinned=True)
             return None
-        target.pool.release(link)
+        target.pool.release(link, pinned=True)
         return condition
 
     async def _claim(self, group: Group, term: int, target: Target) -> int | None:
--- a/src/rosemaryridge/core/_follower.py
+++ b/src/rosemaryridge/core/_follower.py
@@ -11,10 +11,13 @@
 
 # A watch that waits longer saves calls; TCP's own probes find a dead connection.
 _WATCH_WAIT_S = 25.0
+# How long changes are gathered after one; small beside the seconds that a change
+# has until it must be in force.
+_GATHER_S = 0.4
 # How soon a failed call is repeated; what changed meanwhile must be in force within
 # seconds of the store's return.
 _RETRY_MIN_S = 0.1
-_RETRY_MAX_S = 0.8
+_RETRY_MAX_S = 1.2
 
 
 class WatchedStore(t.Protocol):
@@ -75,6 +78,9 @@
         self._revision = revision
         for change in changes:
             self._on_change(change)
+        if changes:
+            # Changes come in groups; one watch for all of them is one call.
+            await asyncio.sleep(_GATHER_S)
 
     def _succeeded(self) -> None:
         self._retry_s = _RETRY_MIN_S
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -7,6 +7,7 @@
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._freshness import PrimaryHistory
 from rosemaryridge.core._pool import PoolClosed
+from rosemaryridge.core._pool import TurnTooLate
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
 from rosemaryridge.core._statement import StatementError
@@ -203,8 +204,8 @@
         """
         deadline = self._loop.time() + PING_TIMEOUT_S
         try:
-            link = await target.pool.acquire(_PING_PRIORITY, deadline)
-        except PoolClosed:
+            link = await target.pool.acquire(_PING_PRIORITY, deadline, pinned=True)
+        except (PoolClosed, TurnTooLate):
             return None
         except TimeoutError:
             if target.pool.lent == 0:
@@ -220,13 +221,13 @@
                 answer = await begun
                 await ended
         except (TargetLost, TimeoutError) as exc:
-            target.pool.discard(link)
+            target.pool.discard(link, pinned=True)
             if isinstance(exc, TimeoutError):
                 self.silent(target)
             else:
                 self.suspect(target)
             return None
-        target.pool.release(link)
+        target.pool.release(link, pinned=True)
         target.heard(self._loop.time())
         return self.take_begin(target, answer, sent_at)
 
--- a/src/rosemaryridge/core/_pool.py
+++ b/src/rosemaryridge/core/_pool.py
@@ -5,6 +5,8 @@
 import itertools
 import typing as t
 
+from rosemaryridge.core._admission import Admission
+from rosemaryridge.core._admission import Keeping
 from rosemaryridge.core._target_info import TargetInfo
 from rosemaryridge.core.commands import Connect
 from rosemaryridge.core.commands import ConnectFailed
@@ -20,6 +22,14 @@
 _FULL_RETRY_S = 0.3
 
 
+class _Waiter(t.NamedTuple):
+    priority: int
+    deadline: float
+    number: int
+    pinned: bool
+    fut: asyncio.Future[Link]
+
+
 class PoolClosed(Exception):
     """Report that a target cannot be reached; `failure` says why."""
 
@@ -28,8 +38,20 @@
         self.failure = failure
 
 
+class TurnTooLate(Exception):
+    """Report that a connection would come free only after the deadline."""
+
+    def __init__(self, wait_s: float):
+        super().__init__(f"a connection comes free in {wait_s:.2f} s")
+        self.wait_s = wait_s
+
+
 class Pool:
-    """Open, lend and reuse up to `limit` connections to one target."""
+    """Open, lend and reuse up to `limit` connections to one target.
+
+    A transaction keeps its connection between its statements; only single
+    statements count against the target's window.
+    """
 
     def __init__(
         self,
@@ -41,18 +63,21 @@
     ):
         self.info = info
         self.limit = limit
-        self.opened = 0
+        self.admission = Admission(limit)
+        self.keeping = Keeping()
         self._connect = connect
         self._on_opened = on_opened
         self._on_failed = on_failed
-        self._idle: list[Link] = []
+        self._idle: list[tuple[Link, float]] = []
         self._lent = 0
+        self._pinned = 0
         self._opening = 0
         self._retry_at = 0.0
         self._retry_s = _RETRY_MIN_S
-        self._waiting: list[tuple[int, float, int, asyncio.Future[Link]]] = []
+        self._waiting: list[_Waiter] = []
         self._numbers = itertools.count()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._sweep: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
         self._closed = False
 
@@ -69,88 +94,132 @@
     @property
     def waiting(self) -> int:
         """Return how many statements wait for a connection."""
-        return sum(1 for entry in self._waiting if not entry[3].done())
+        return sum(1 for waiter in self._waiting if not waiter.fut.done())
 
     @property
     def free(self) -> int:
-        """Return how many connections could be lent without waiting for another."""
-        if self._loop.time() < self._retry_at:
-            return len(self._idle)
-        return len(self._idle) + max(0, self.limit - self.size)
+        """Return how many statements could run without waiting for another."""
+        lanes = self.admission.lanes - (self._lent - self._pinned)
+        connections = len(self._idle)
+        if self._loop.time() >= self._retry_at:
+            connections += max(0, self.limit - self.size)
+        return max(0, min(lanes, connections))
+
+    def resize(self, limit: int) -> None:
+        """Change how many connections there may be."""
+        self.limit = limit
+        self.admission.resize(limit)
 
     def warm(self) -> None:
         """Open a first connection ahead of need."""
         if self.size == 0:
             self._open()
 
-    def take_idle(self) -> Link | None:
-        """Lend a connection only if one is idle."""
-        while self._idle:
-            link = self._idle.pop()
-            if not link.closed:
-                self._lent += 1
-                return link
-        return None
-
-    async def acquire(self, priority: int, deadline: float) -> Link:
-        """Lend a connection; raise TimeoutError or PoolClosed."""
-        link = self.take_idle()
-        if link is not None:
-            return link
+    async def acquire(
+        self, priority: int, deadline: float, pinned: bool = False
+    ) -> Link:
+        """Lend a connection; raise TimeoutError, TurnTooLate or PoolClosed."""
+        if self._may_lend(pinned) and (link := self._take_idle()) is not None:
+            return self._lend(link, pinned)
+        left_s = deadline - self._loop.time()
+        wait_s = self.admission.wait_s(self._ahead(priority, deadline))
+        if self._waiting and wait_s > left_s:
+            raise TurnTooLate(wait_s)
         fut: asyncio.Future[Link] = self._loop.create_future()
-        entry = (priority, deadline, next(self._numbers), fut)
-        heapq.heappush(self._waiting, entry)
-        self._open()
+        number = next(self._numbers)
+        heapq.heappush(self._waiting, _Waiter(priority, deadline, number, pinned, fut))
+        if self._may_lend(pinned):
+            self._open()
         try:
             async with asyncio.timeout_at(deadline):
                 return await fut
         except BaseException:
             if fut.done() and not fut.cancelled() and fut.exception() is None:
-                self.release(fut.result())
+                self.release(fut.result(), pinned)
             fut.cancel()
             raise
 
-    def release(self, link: Link) -> None:
+    def release(self, link: Link, pinned: bool = False) -> None:
         """Take a connection back; a busy one is closed."""
         self._lent -= 1
+        self._pinned -= pinned
         if link.closed or link.busy or self._closed or self.size >= self.limit:
             link.close()
-            self._replace()
-            return
-        fut = self._next()
-        if fut is not None:
-            self._lent += 1
-            fut.set_result(link)
         else:
-            self._idle.append(link)
+            self._idle.append((link, self._loop.time()))
+        self._serve_waiting()
 
-    def discard(self, link: Link) -> None:
+    def discard(self, link: Link, pinned: bool = False) -> None:
         """Close a connection whose state is unknown."""
         link.close()
         self._lent -= 1
-        self._replace()
+        self._pinned -= pinned
+        self._serve_waiting()
+
+    def _may_lend(self, pinned: bool) -> bool:
+        return pinned or self._lent - self._pinned < self.admission.lanes
+
+    def _lend(self, link: Link, pinned: bool) -> Link:
+        self._lent += 1
+        self._pinned += pinned
+        return link
+
+    def _take_idle(self) -> Link | None:
+        while self._idle:
+            link, _ = self._idle.pop()
+            if not link.closed:
+                return link
+        return None
+
+    def _ahead(self, priority: int, deadline: float) -> int:
+        return sum(
+            1
+            for waiter in self._waiting
+            if not waiter.fut.done() and waiter[:2] <= (priority, deadline)
+        )
+
+    def _serve_waiting(self) -> None:
+        """Lend to those who wait, the most urgent first."""
+        while (waiter := self._first()) is not None and self._may_lend(waiter.pinned):
+            link = self._take_idle()
+            if link is None:
+                self._open()
+                break
+            heapq.heappop(self._waiting)
+            waiter.fut.set_result(self._lend(link, waiter.pinned))
+        self._arm_sweep()
+
+    def _first(self) -> "_Waiter | None":
+        while self._waiting and self._waiting[0].fut.done():
+            heapq.heappop(self._waiting)
+        return self._waiting[0] if self._waiting else None
+
+    def _arm_sweep(self) -> None:
+        if self._sweep is None and self._idle:
+            oldest = self._idle[0][1]
+            self._sweep = self._loop.call_at(
+                oldest + self.keeping.keep_s, self._close_stale
+            )
+
+    def _close_stale(self) -> None:
+        self._sweep = None
+        before = self._loop.time() - self.keeping.keep_s
+        while self._idle and self._idle[0][1] <= before:
+            self._idle.pop(0)[0].close()
+        self._arm_sweep()
 
     def close(self) -> None:
         """Close idle connections now and the lent ones when they come back."""
         self._closed = True
-        for link in self._idle:
+        if self._sweep is not None:
+            self._sweep.cancel()
+        for link, _ in self._idle:
             link.close()
         self._idle.clear()
         for task in self._tasks:
             task.cancel()
         self._fail(ConnectFailed("the target has left", wrong=True))
 
-    def _replace(self) -> None:
-        if self._waiting:
-            self._open()
-
-    def _next(self) -> asyncio.Future[Link] | None:
-        while self._waiting:
-            fut = heapq.heappop(self._waiting)[3]
-            if not fut.done():
-                return fut
-        return None
-
     def _open(self) -> None:
         if self._closed or self.size >= self.limit:
             return
@@ -175,13 +244,15 @@
             self._failed(exc)
             return
         self._opening -= 1
-        self.opened += 1
         self._retry_s, self._retry_at = _RETRY_MIN_S, 0.0
+        self.keeping.opened()
         self._lent += 1
         self.release(link)
         self._on_opened()
 
     def _failed(self, exc: ConnectFailed) -> None:
+        if exc.full:
+            self.keeping.refused()
         self._retry_at = self._loop.time() + (
             _FULL_RETRY_S if exc.full else self._retry_s
         )
@@ -189,7 +260,11 @@
         self._on_failed(exc)
         if self.size == 0:
             self._fail(exc)
+        else:
+            self._serve_waiting()
 
     def _fail(self, exc: ConnectFailed) -> None:
-        while (fut := self._next()) is not None:
-            fut.set_exception(PoolClosed(exc))
+        waiting, self._waiting = self._waiting, []
+        for waiter in waiting:
+            if not waiter.fut.done():
+                waiter.fut.set_exception(PoolClosed(exc))
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -42,7 +42,9 @@
         self.log = log
         self.config = ConfigHolder()
         self.proxies = _FIRST_PROXIES
-        self.directory = Directory(connect, log, on_trouble, self._share)
+        self.directory = Directory(
+            connect, log, on_trouble, self._share, lambda: self.proxies
+        )
         self.runner = Runner(failure_domain, rng, PreparedNames(), log)
         self._ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -107,5 +109,12 @@
             config=self.config.current.version,
         )
 
+    def set_proxies(self, proxies: int) -> None:
+        """Take in among how many proxies connections are shared."""
+        if proxies != self.proxies:
+            self.log.write("proxies_counted", proxies=proxies, before=self.proxies)
+            self.proxies = proxies
+            self.directory.share_changed()
+
     def _share(self, connections: int) -> int:
         return max(1, int(connections * (1.0 - _SPARE_SHARE) / self.proxies))
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -11,6 +11,7 @@
 from rosemaryridge.core._placement import ReadNeed
 from rosemaryridge.core._placement import choose_for_read
 from rosemaryridge.core._pool import PoolClosed
+from rosemaryridge.core._pool import TurnTooLate
 from rosemaryridge.core._session import PreparedNames
 from rosemaryridge.core._session import Session
 from rosemaryridge.core._session import needed_position
@@ -136,13 +137,22 @@
         return answer
 
     async def link(
-        self, group: Group, target: Target, route: Route, deadline: float
+        self,
+        group: Group,
+        target: Target,
+        route: Route,
+        deadline: float,
+        pinned: bool = False,
     ) -> Link | None:
         """Return a connection to a target, None where it cannot be reached."""
         try:
-            return await target.pool.acquire(route.priority, deadline)
+            return await target.pool.acquire(route.priority, deadline, pinned)
         except PoolClosed:
             return None
+        except TurnTooLate as exc:
+            raise StatementError(
+                Failure.BUSY, f"{target.id} is overloaded: {exc}", exc.wait_s
+            ) from None
         except TimeoutError:
             raise StatementError(
                 Failure.BUSY, f"no connection to {target.id} came free", 0.2
@@ -181,16 +191,23 @@
             target.answered(now - started, now)
         return answer
 
-    def settle(self, group: Group, target: Target, link: Link, answer: Answer) -> None:
+    def settle(
+        self,
+        group: Group,
+        target: Target,
+        link: Link,
+        answer: Answer,
+        pinned: bool = False,
+    ) -> None:
         """Give a connection back and learn from a refusal."""
         if answer.failure is Failure.READ_ONLY:
             group.deposed(target)
         if answer.failure is Failure.UNKNOWN_STATEMENT:
             link.prepared.clear()
         if answer.state is TransactionState.IDLE:
-            target.pool.release(link)
+            target.pool.release(link, pinned)
         else:
-            target.pool.discard(link)
+            target.pool.discard(link, pinned)
 
     def _check_later(self, group: Group, target: Target) -> asyncio.TimerHandle:
         sent_at = self._loop.time()
@@ -304,19 +321,19 @@
             group.take_begin(target, answer, sent_at)
         return answer
 
-    async def roll_back(self, target: Target, link: Link) -> None:
+    async def roll_back(self, target: Target, link: Link, pinned: bool = False) -> None:
         """End a transaction and give the connection back."""
         (fut,) = link.send(Rollback())
         try:
             async with asyncio.timeout(_ABANDONED_S):
                 answer = await fut
         except (TargetLost, TimeoutError):
-            target.pool.discard(link)
+            target.pool.discard(link, pinned)
             return
         if answer.state is TransactionState.IDLE:
-            target.pool.release(link)
+            target.pool.release(link, pinned)
         else:
-            target.pool.discard(link)
+            target.pool.discard(link, pinned)
 
     async def _read_anywhere(
         self,
--- a/src/rosemaryridge/core/_target.py
+++ b/src/rosemaryridge/core/_target.py
@@ -68,10 +68,12 @@
         weight = max(_LATENCY_WEIGHT, min(1.0, (now - self.sampled_at) / _FORGET_S))
         self.latency_s += weight * (latency_s - self.latency_s)
         self.sampled_at = now
+        self.pool.admission.answered(latency_s)
 
     def full(self, now: float) -> None:
         """Take in that the target's slots and queue are taken."""
         self.full_until = now + _FULL_PAUSE_S
+        self.pool.admission.full(now)
 
     def lacked(self, age_s: float) -> None:
         """Take in that the log lacked a position that old."""
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -131,7 +131,7 @@
             retry_s = min(_RETRY_MAX_S, 2 * retry_s)
         self._take_result(answer, target, sent_at)
         self._target = self._link = None
-        self._runner.settle(self._group, target, link, answer)
+        self._runner.settle(self._group, target, link, answer, pinned=True)
         return _with_state(answer, TransactionState.IDLE)
 
     def _take_result(self, answer: Answer, target: Target, sent_at: float) -> None:
@@ -177,9 +177,9 @@
             return
         if link.busy or link.closed:
             # A statement may still run; the target rolls back what it did.
-            target.pool.discard(link)
+            target.pool.discard(link, pinned=True)
             return
-        self._runner.spawn(self._runner.roll_back(target, link))
+        self._runner.spawn(self._runner.roll_back(target, link, pinned=True))
 
     async def _opened(self, deadline: float) -> tuple[Target, Link]:
         if self._expired:
@@ -220,7 +220,9 @@
             tried.add(target.id)
         else:
             target = await self._group.wait_for_lead(deadline)
-        link = await self._runner.link(self._group, target, self._route, deadline)
+        link = await self._runner.link(
+            self._group, target, self._route, deadline, pinned=True
+        )
         if link is None:
             return None
         try:
@@ -233,7 +235,7 @@
                 need.position if need else None,
             )
         except (TargetLost, TimeoutError):
-            target.pool.discard(link)
+            target.pool.discard(link, pinned=True)
             self._group.suspect(target)
             return None
         if need is not None:
@@ -241,7 +243,7 @@
         if answer.ok:
             self._target, self._link = target, link
         else:
-            target.pool.release(link)
+            target.pool.release(link, pinned=True)
         return answer
 
     def _wait_for_caller(self) -> None:
--- a/src/rosemaryridge/platform/store.py
+++ b/src/rosemaryridge/platform/store.py
@@ -52,16 +52,20 @@
         self._http = HttpClient(endpoint, _CONNECT_TIMEOUT_S)
         self.calls = 0
 
-    async def list(self, kind: str) -> Listing:
-        """Return every object of a kind, page by page."""
-        data = await self._get(kind)
+    async def list(self, kind: str, stale: bool = False) -> Listing:
+        """Return every object of a kind, page by page.
+
+        A stale answer costs a tenth and may be seconds old.
+        """
+        flag = "stale_ok=1" if stale else ""
+        data = await self._get(f"{kind}?{flag}" if stale else kind)
         # A watch from a later page's revision would miss what changed meanwhile on
         # the pages before it.
         revision = data["store_revision"]
         objects = [_object(item) for item in data["items"]]
         while data.get("has_more") and data["items"]:
             after = urllib.parse.quote(objects[-1].name, safe="")
-            data = await self._get(f"{kind}?after={after}")
+            data = await self._get(f"{kind}?after={after}&{flag}".rstrip("&"))
             objects += [_object(item) for item in data["items"]]
         return Listing(tuple(objects), revision)
 
