Leave a full target alone for longer each time; keep a late proxy from promoting again

The pause after a refusal makes less than one a proxy possible. A proxy that had not yet seen a promotion ordered another (fences 1 and 2 within 0.4 s); the test of a draining primary failed on it.

--- a/src/rosemaryridge/core/_admission.py
+++ b/src/rosemaryridge/core/_admission.py
@@ -1,10 +1,15 @@
 """Decide how many statements run at a target at once, and who need not wait."""
 
+import random
+
 # A window grows by one after about this many answers a lane.
 _GROWTH_ANSWERS = 8.0
 # A window shrinks to this share when the target is full, at most once a pause.
 _SHRINK = 0.7
-_SHRINK_PAUSE_S = 0.1
+# A queue of 24 before 3 slots drains by a half in about 100 ms; a target that stays
+# full is left alone twice as long each time, up to most of a statement's limit.
+_PAUSE_MIN_S = 0.05
+_PAUSE_MAX_S = 0.8
 # How much one statement moves the average time that a lane is held.
 _HELD_WEIGHT = 0.1
 # What a first statement is expected to take.
@@ -15,17 +20,21 @@
     """Share a target's slots among proxies without a call a request.
 
     It answers a burst beyond the slots: a target that refuses for a full queue
-    narrows the window of each proxy, answers widen it again, and a statement whose
-    turn would come after its deadline is refused at once.
+    narrows the window of each proxy and is left alone for a while, answers widen
+    the window again, and a statement whose turn would come after its deadline is
+    refused at once. The pause makes less than one statement a proxy possible, as
+    many proxies before few slots need.
     """
 
-    __slots__ = ("_held_s", "_most", "_shrunk_at", "_window")
+    __slots__ = ("_held_s", "_most", "_pause_s", "_rng", "_until", "_window")
 
-    def __init__(self, most: int):
+    def __init__(self, most: int, rng: random.Random):
         self._most = max(1, most)
+        self._rng = rng
         self._window = float(self._most)
         self._held_s = _FIRST_HELD_S
-        self._shrunk_at = float("-inf")
+        self._pause_s = _PAUSE_MIN_S
+        self._until = float("-inf")
 
     @property
     def lanes(self) -> int:
@@ -38,21 +47,28 @@
         self._most = max(1, most)
         self._window = float(most) if grown else min(self._window, self._most)
 
+    def paused_s(self, now: float) -> float:
+        """Return for how long the target is still left alone."""
+        return max(0.0, self._until - now)
+
     def full(self, now: float) -> None:
         """Take in that the target refused a statement for a full queue."""
-        if now - self._shrunk_at >= _SHRINK_PAUSE_S:
-            self._window = max(1.0, _SHRINK * self._window)
-            self._shrunk_at = now
+        if now < self._until:
+            return
+        self._window = max(1.0, _SHRINK * self._window)
+        self._until = now + self._pause_s * self._rng.uniform(0.5, 1.5)
+        self._pause_s = min(_PAUSE_MAX_S, 2.0 * self._pause_s)
 
     def answered(self, held_s: float) -> None:
         """Take in that a statement ran, and for how long it held its lane."""
         self._held_s += _HELD_WEIGHT * (held_s - self._held_s)
+        self._pause_s = max(_PAUSE_MIN_S, 0.5 * self._pause_s)
         grown = self._window + 1.0 / (_GROWTH_ANSWERS * self._window)
         self._window = min(float(self._most), grown)
 
-    def wait_s(self, ahead: int) -> float:
+    def wait_s(self, ahead: int, now: float) -> float:
         """Return when a lane comes free for a statement with some ahead of it."""
-        return (ahead + 1) * self._held_s / self.lanes
+        return self.paused_s(now) + (ahead + 1) * self._held_s / self.lanes
 
 
 # Targets close connections that were idle for 60 s by themselves.
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -1,6 +1,7 @@
 """Follow which targets there are."""
 
 import asyncio
+import random
 import typing as t
 
 from rosemaryridge.core._config import FleetConfig
@@ -29,6 +30,7 @@
         on_trouble: t.Callable[[Group], None],
         share: t.Callable[[int], int],
         proxies: t.Callable[[], int],
+        rng: random.Random,
     ):
         self.groups: dict[str, Group] = {}
         self.known = False
@@ -37,6 +39,7 @@
         self._on_trouble = on_trouble
         self._share = share
         self._proxies = proxies
+        self._rng = rng
         self._limits: t.Mapping[str, int] = {}
         self._loop = asyncio.get_running_loop()
 
@@ -150,7 +153,14 @@
         def failed(exc: ConnectFailed) -> None:
             self._connect_failed(group, target, exc)
 
-        pool = Pool(info, self._limit(info.service), self._connect, opened, failed)
+        pool = Pool(
+            info,
+            self._limit(info.service),
+            self._connect,
+            opened,
+            failed,
+            self._rng,
+        )
         target = Target(info, pool)
         group.targets[info.id] = target
         self._log.write(
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -192,10 +192,17 @@
     async def _replace(self, group: Group, reason: Reason) -> bool:
         old = group.lead
         conditions = await self._conditions(group)
+        if old is not group.lead:
+            return False
         if reason in _UNCERTAIN and not await self._is_dead(group, conditions):
             return False
-        followers = {name: c for name, c in conditions.items() if not c.primary}
-        target = best_candidate(group, followers)
+        leading = [name for name, one in conditions.items() if one.primary]
+        if leading:
+            # Another proxy has replaced the primary; this one learns of it late.
+            if (target := group.targets.get(leading[0])) is not None:
+                await group.check(target)
+            return False
+        target = best_candidate(group, conditions)
         if target is None:
             self._note(group, reason, "no replica can take over")
             return False
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -26,6 +26,8 @@
 _SEARCH_PERIOD_S = 0.08
 # A target that has gone silent is asked this often whether it is back.
 _SILENT_PERIOD_S = 0.4
+# A target that refused a connection this recently is full, not silent.
+_FULL_RECENT_S = 1.0
 # How much older a position may look than it is: the clocks' grain and a timer.
 _AGE_MARGIN_S = 0.05
 # A fresh position is asked for once the newest is this share of the bound old.
@@ -208,7 +210,8 @@
         except (PoolClosed, TurnTooLate):
             return None
         except TimeoutError:
-            if target.pool.lent == 0:
+            full_s = self._loop.time() - target.pool.full_at
+            if target.pool.lent == 0 and full_s > _FULL_RECENT_S:
                 self.silent(target)
             return None
         return await self._ping(target, link, deadline)
--- a/src/rosemaryridge/core/_placement.py
+++ b/src/rosemaryridge/core/_placement.py
@@ -63,6 +63,6 @@
         cost += _REMOTE_PENALTY_S
     if target.silent_since is not None:
         cost += _SILENT_PENALTY_S
-    if target.full_until > now or target.pool.free == 0:
+    if target.pool.free == 0:
         cost += _FULL_PENALTY_S
     return cost
--- a/src/rosemaryridge/core/_pool.py
+++ b/src/rosemaryridge/core/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import itertools
+import random
 import typing as t
 
 from rosemaryridge.core._admission import Admission
@@ -60,10 +61,11 @@
         connect: Connect,
         on_opened: t.Callable[[], None],
         on_failed: t.Callable[[ConnectFailed], None],
+        rng: random.Random,
     ):
         self.info = info
         self.limit = limit
-        self.admission = Admission(limit)
+        self.admission = Admission(limit, rng)
         self.keeping = Keeping()
         self._connect = connect
         self._on_opened = on_opened
@@ -78,6 +80,8 @@
         self._numbers = itertools.count()
         self._tasks: set[asyncio.Task[None]] = set()
         self._sweep: asyncio.TimerHandle | None = None
+        self._resume: asyncio.TimerHandle | None = None
+        self.full_at = float("-inf")
         self._loop = asyncio.get_running_loop()
         self._closed = False
 
@@ -99,6 +103,8 @@
     @property
     def free(self) -> int:
         """Return how many statements could run without waiting for another."""
+        if self.admission.paused_s(self._loop.time()) > 0.0:
+            return 0
         lanes = self.admission.lanes - (self._lent - self._pinned)
         connections = len(self._idle)
         if self._loop.time() >= self._retry_at:
@@ -121,15 +127,18 @@
         """Lend a connection; raise TimeoutError, TurnTooLate or PoolClosed."""
         if self._may_lend(pinned) and (link := self._take_idle()) is not None:
             return self._lend(link, pinned)
-        left_s = deadline - self._loop.time()
-        wait_s = self.admission.wait_s(self._ahead(priority, deadline))
-        if self._waiting and wait_s > left_s:
+        now = self._loop.time()
+        wait_s = self.admission.wait_s(self._ahead(priority, deadline), now)
+        crowded = self._waiting or self.admission.paused_s(now) > 0.0
+        if crowded and not pinned and wait_s > deadline - now:
             raise TurnTooLate(wait_s)
         fut: asyncio.Future[Link] = self._loop.create_future()
         number = next(self._numbers)
         heapq.heappush(self._waiting, _Waiter(priority, deadline, number, pinned, fut))
         if self._may_lend(pinned):
             self._open()
+        else:
+            self._arm_pause()
         try:
             async with asyncio.timeout_at(deadline):
                 return await fut
@@ -157,7 +166,20 @@
         self._serve_waiting()
 
     def _may_lend(self, pinned: bool) -> bool:
-        return pinned or self._lent - self._pinned < self.admission.lanes
+        if pinned:
+            return True
+        if self.admission.paused_s(self._loop.time()) > 0.0:
+            return False
+        return self._lent - self._pinned < self.admission.lanes
+
+    def _arm_pause(self) -> None:
+        paused_s = self.admission.paused_s(self._loop.time())
+        if paused_s > 0.0 and self._resume is None:
+            self._resume = self._loop.call_later(paused_s, self._resumed)
+
+    def _resumed(self) -> None:
+        self._resume = None
+        self._serve_waiting()
 
     def _lend(self, link: Link, pinned: bool) -> Link:
         self._lent += 1
@@ -187,6 +209,8 @@
                 break
             heapq.heappop(self._waiting)
             waiter.fut.set_result(self._lend(link, waiter.pinned))
+        if self._waiting:
+            self._arm_pause()
         self._arm_sweep()
 
     def _first(self) -> "_Waiter | None":
@@ -211,8 +235,9 @@
     def close(self) -> None:
         """Close idle connections now and the lent ones when they come back."""
         self._closed = True
-        if self._sweep is not None:
-            self._sweep.cancel()
+        for timer in (self._sweep, self._resume):
+            if timer is not None:
+                timer.cancel()
         for link, _ in self._idle:
             link.close()
         self._idle.clear()
@@ -252,6 +277,7 @@
 
     def _failed(self, exc: ConnectFailed) -> None:
         if exc.full:
+            self.full_at = self._loop.time()
             self.keeping.refused()
         self._retry_at = self._loop.time() + (
             _FULL_RETRY_S if exc.full else self._retry_s
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -43,7 +43,7 @@
         self.config = ConfigHolder()
         self.proxies = _FIRST_PROXIES
         self.directory = Directory(
-            connect, log, on_trouble, self._share, lambda: self.proxies
+            connect, log, on_trouble, self._share, lambda: self.proxies, rng
         )
         self.runner = Runner(failure_domain, rng, PreparedNames(), log)
         self._ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -100,6 +100,9 @@
                 target=target.id,
                 reason=answer.failure.value,
             )
+            if answer.failure is Failure.BUSY:
+                # The target's pool waits before the next statement.
+                continue
             await self.pause(retry_s, deadline, answer.detail, answer.failure)
             retry_s = min(_RETRY_MAX_S, 2 * retry_s)
 
--- a/src/rosemaryridge/core/_target.py
+++ b/src/rosemaryridge/core/_target.py
@@ -14,8 +14,6 @@
 _FORGET_S = 4.0
 # What a first statement is expected to take.
 _FIRST_LATENCY_S = 0.03
-# A full target is left alone for this; its queue of 24 drains in about 200 ms.
-_FULL_PAUSE_S = 0.1
 # A replica that lacked a position is tried again for others of that age sooner
 # than this much later.
 _LAG_MARGIN_S = 0.03
@@ -34,7 +32,6 @@
     applied: Position = ORIGIN
     # How far behind the primary the replica seems to apply, in seconds.
     lag_s: float = 0.05
-    full_until: float = 0.0
     heard_at: float = 0.0
     # Since when nothing has answered, None while it does.
     silent_since: float | None = None
@@ -72,7 +69,6 @@
 
     def full(self, now: float) -> None:
         """Take in that the target's slots and queue are taken."""
-        self.full_until = now + _FULL_PAUSE_S
         self.pool.admission.full(now)
 
     def lacked(self, age_s: float) -> None:
