--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import sys
+import typing as t
 
 import uvloop
 
@@ -12,11 +13,14 @@
 from rosemaryridge.core import EventLog
 from rosemaryridge.core import Failover
 from rosemaryridge.core import Follower
+from rosemaryridge.core import Peer
+from rosemaryridge.core import Peers
 from rosemaryridge.core import Proxy
 from rosemaryridge.core import TargetInfo
 from rosemaryridge.exceptions import SettingsError
 from rosemaryridge.exceptions import StoreError
 from rosemaryridge.exceptions import StoreUnavailable
+from rosemaryridge.model import Endpoint
 from rosemaryridge.platform import documents
 from rosemaryridge.platform import target
 from rosemaryridge.platform.callers import CallerServer
@@ -69,7 +73,11 @@
         self._proxy = Proxy(
             cfg.failure_domain, target.connect, rng, self._log, self._failover.trouble
         )
-        self._census = Census(cfg.vm, self._store, self._counted, self._log, rng)
+        self._peers = Peers(
+            cfg.vm, cfg.failure_domain, self._proxy.directory.groups, self._log
+        )
+        self._proxy.directory.ask_home = self._peers.ask
+        self._census = Census(cfg.vm, self._store, self._listed, self._log, rng)
         self._callers = CallerServer(self._proxy)
         self._pages = HttpServer({"/rosemaryridge/readiness": self._readiness})
         self._followers = (
@@ -100,6 +108,11 @@
         self._log.write(
             "started", pid=os.getpid(), failure_domain=self._cfg.failure_domain
         )
+        bound = await self._peers.start(self._cfg.callers.host, self._cfg.peer_ports[0])
+        self._census.described = {
+            "failure_domain": self._cfg.failure_domain,
+            "address": str(bound),
+        }
         following = [
             loop.create_task(one.run()) for one in (*self._followers, self._census)
         ]
@@ -129,6 +142,7 @@
         self._proxy.directory.close()
         self._store.close()
         self._orders.close()
+        self._peers.close()
 
     def _follower_ended(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -232,9 +246,19 @@
             self._log.write("target_unreadable", reason=str(exc))
             return None
 
-    def _counted(self, proxies: int) -> None:
-        self._proxy.set_proxies(proxies)
-        self._failover.proxies = proxies
+    def _listed(self, entries: dict[str, t.Any]) -> None:
+        self._proxy.set_proxies(max(1, len(entries)))
+        self._failover.proxies = max(1, len(entries))
+        peers = (self._peer(vm, spec) for vm, spec in entries.items())
+        self._peers.set_peers([peer for peer in peers if peer is not None])
+
+    def _peer(self, vm: str, spec: t.Any) -> Peer | None:
+        try:
+            endpoint = Endpoint.parse(spec["address"])
+            return Peer(vm, str(spec["failure_domain"]), endpoint)
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            self._log.write("proxy_unreadable", proxy=vm, reason=repr(exc))
+            return None
 
     def _reload(self) -> None:
         self._modified = _modified(self._path)
--- a/src/rosemaryridge/core/__init__.py
+++ b/src/rosemaryridge/core/__init__.py
@@ -13,6 +13,8 @@
 from rosemaryridge.core._follower import Follower
 from rosemaryridge.core._freshness import PrimaryHistory
 from rosemaryridge.core._group import Group
+from rosemaryridge.core._peers import Peer
+from rosemaryridge.core._peers import Peers
 from rosemaryridge.core._proxy import Proxy
 from rosemaryridge.core._statement import NOT_RUN
 from rosemaryridge.core._statement import Answer
@@ -38,6 +40,8 @@
     "FleetConfig",
     "Follower",
     "Group",
+    "Peer",
+    "Peers",
     "PrimaryHistory",
     "Proxy",
     "Route",
--- a/src/rosemaryridge/core/_census.py
+++ b/src/rosemaryridge/core/_census.py
@@ -38,13 +38,13 @@
     def __init__(self) -> None:
         self._seen: dict[str, tuple[int, float]] = {}
 
-    def count(self, revisions: t.Mapping[str, int], now: float) -> int:
-        """Return how many entries have changed within the expiry, in seconds."""
+    def of(self, revisions: t.Mapping[str, int], now: float) -> set[str]:
+        """Return the entries that have changed within the expiry."""
         for name, revision in revisions.items():
             if self._seen.get(name, (0, 0.0))[0] != revision:
                 self._seen[name] = (revision, now)
         self._seen = {n: seen for n, seen in self._seen.items() if n in revisions}
-        return sum(1 for _, at in self._seen.values() if now - at < _EXPIRY_S)
+        return {n for n, (_, at) in self._seen.items() if now - at < _EXPIRY_S}
 
 
 class Census:
@@ -54,13 +54,15 @@
         self,
         vm: str,
         store: CensusStore,
-        on_count: t.Callable[[int], None],
+        on_list: t.Callable[[dict[str, t.Any]], None],
         log: EventLog,
         rng: random.Random,
     ):
         self._vm = vm
         self._store = store
-        self._on_count = on_count
+        # What the own entry tells others beside its name.
+        self.described: dict[str, t.Any] = {}
+        self._on_list = on_list
         self._log = log
         self._rng = rng
         self._live = LiveEntries()
@@ -87,13 +89,16 @@
                 return _FIRST_COUNT_S
         listing = await self._store.list(PROXIES_KIND, stale=True)
         revisions = {one.name: one.revision for one in listing.objects}
-        self._on_count(max(1, self._live.count(revisions, now)))
+        live = self._live.of(revisions, now)
+        self._on_list(
+            {one.name: one.spec for one in listing.objects if one.name in live}
+        )
         return _COUNT_PERIOD_S
 
     async def _renew(self) -> None:
         """Write the own entry; one of an earlier process is replaced."""
         self._renewals += 1
-        spec = {"renewals": self._renewals, "draw": self._rng.random()}
+        spec = {**self.described, "draw": self._rng.random()}
         try:
             await self._store.put(PROXIES_KIND, self._vm, spec, 0)
         except StoreConflict:
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -34,6 +34,8 @@
     ):
         self.groups: dict[str, Group] = {}
         self.known = False
+        # How a group asks a nearby proxy for a position, once peers are known.
+        self.ask_home: t.Callable[[Group], t.Awaitable[bool]] | None = None
         self._connect = connect
         self._log = log
         self._on_trouble = on_trouble
@@ -48,6 +50,7 @@
         found = self.groups.get(service)
         if found is None:
             found = Group(service, self._log, self._on_trouble)
+            found.ask_home = self.ask_home
             self.groups[service] = found
         return found
 
--- a/src/rosemaryridge/core/_freshness.py
+++ b/src/rosemaryridge/core/_freshness.py
@@ -45,6 +45,10 @@
         """Return when the newest position was asked for."""
         return self._times[-1] if self._times else float("-inf")
 
+    def newest(self) -> tuple[Position, float] | None:
+        """Return the newest position and when it was asked for, None without any."""
+        return (self._positions[-1], self._times[-1]) if self._times else None
+
     def position_since(self, time: float) -> tuple[Position, float] | None:
         """Return the oldest position asked for at a time or later, with its time.
 
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -49,6 +49,8 @@
         self.term = 0
         self._proved_by: str | None = None
         self._proved_at = float("-inf")
+        # Asks a nearby proxy for the position; None where there is none to ask.
+        self.ask_home: t.Callable[[Group], t.Awaitable[bool]] | None = None
         # Whether this proxy reaches neither the store nor a primary.
         self.cut_off = False
         self._log = log
@@ -273,7 +275,24 @@
         return self._refresh
 
     async def _ask_position(self) -> None:
+        if self.ask_home is not None and await self.ask_home(self):
+            return
+        await self._ask_primary()
+
+    async def _ask_primary(self) -> None:
         lead = self.lead
         if lead is None or await self.check(lead) is None:
             # Without an answer the next try must not follow at once.
             await asyncio.sleep(_SEARCH_PERIOD_S)
+
+    def learned(self, position: Position, proved_at: float) -> bool:
+        """Take in a position that another proxy proved; return whether it is newer."""
+        before = self._history.newest_time()
+        self._history.observe(position, proved_at)
+        return self._history.newest_time() > before
+
+    async def newest(self, age_s: float) -> tuple[Position, float] | None:
+        """Return the newest position and when it was proved, asking if it is old."""
+        if boottime() - self._history.newest_time() > age_s:
+            await self._ask_primary()
+        return self._history.newest()
