--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -27,6 +27,7 @@
 from rosemaryridge.core.commands import Link
 from rosemaryridge.core.commands import Rollback
 from rosemaryridge.core.commands import Run
+from rosemaryridge.model import ORIGIN
 from rosemaryridge.model import Position
 
 # A full or lagging target is asked again after this, doubled each time.
@@ -136,7 +137,7 @@
         self.settle(group, target, link, answer)
         if answer.ok and answer.position is not None:
             group.proved(target, answer.position, sent_at)
-            session.written = answer.position
+            session.committed(answer.position, boottime())
         return answer
 
     async def link(
@@ -426,7 +427,7 @@
         if answer.failure is Failure.LAGGING:
             target.lacked(need.age_s)
         elif answer.ok:
-            target.held(need.age_s, need.position)
+            target.held(need.age_s, max(need.position, answer.position or ORIGIN))
 
     def choose(self, group: Group, need: ReadNeed, tried: set[str]) -> Target | None:
         """Return the target that should answer a read."""
@@ -446,7 +447,7 @@
         """Return what a read's target must hold; raise StatementError."""
         floor = await group.floor(route.max_age_s, deadline)
         if route.consistency is Consistency.SESSION:
-            floor = needed_position(session, route, floor)
+            floor = needed_position(session, floor, boottime())
         return ReadNeed(*floor)
 
 
--- a/src/rosemaryridge/core/_session.py
+++ b/src/rosemaryridge/core/_session.py
@@ -2,7 +2,6 @@
 
 import itertools
 
-from rosemaryridge.core._config import Route
 from rosemaryridge.core._statement import Failure
 from rosemaryridge.core._statement import Statement
 from rosemaryridge.core._statement import StatementError
@@ -48,6 +47,13 @@
         self.prepared: dict[bytes, Statement] = {}
         # Where the log was after the session's newest acknowledged commit.
         self.written: Position = ORIGIN
+        # When that commit was acknowledged, on the clock of `boottime`.
+        self.written_at = float("-inf")
+
+    def committed(self, position: Position, now: float) -> None:
+        """Take in where the log was after an acknowledged commit."""
+        self.written = position
+        self.written_at = now
 
     def set_value(self, statement: Statement) -> None:
         """Remember a session value; raise StatementError."""
@@ -110,7 +116,7 @@
 
 
 def needed_position(
-    session: Session, route: Route, floor: tuple[Position, float]
+    session: Session, floor: tuple[Position, float], now: float
 ) -> tuple[Position, float]:
     """Return the position that a read of a session needs, and its age.
 
@@ -118,7 +124,7 @@
     """
     position, age_s = floor
     if session.written > position:
-        return session.written, 0.0
+        return session.written, max(0.0, now - session.written_at)
     return position, age_s
 
 
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -137,7 +137,7 @@
     def _take_result(self, answer: Answer, target: Target, sent_at: float) -> None:
         if answer.ok and answer.position is not None and not self._anywhere:
             self._group.proved(target, answer.position, sent_at)
-            self._session.written = answer.position
+            self._session.committed(answer.position, boottime())
 
     async def _send_commit(
         self, target: Target, link: Link, statement: Statement, deadline: float
