--- a/src/rosemaryridge/core/_admission.py
+++ b/src/rosemaryridge/core/_admission.py
@@ -79,6 +79,11 @@
 _KEEP_GROWTH = 1.05
 
 
+# Connections beyond the first are for bursts. When all proxies lose power at once,
+# targets count their connections for 3 s more, and room must be left beside them.
+_KEEP_SPARE_S = 2.0
+
+
 class Keeping:
     """Decide how long an idle connection is kept while connections are scarce.
 
@@ -86,10 +91,18 @@
     target shortens the time, each connection opened lengthens it.
     """
 
-    __slots__ = ("keep_s",)
+    __slots__ = ("keep_s", "scarce")
 
     def __init__(self) -> None:
         self.keep_s = _KEEP_MOST_S
+        # Whether there is less than one connection for each proxy.
+        self.scarce = False
+
+    def idle_s(self, idle: int) -> float:
+        """Return how long the oldest of some idle connections is kept."""
+        if idle > 1 or self.scarce:
+            return min(self.keep_s, _KEEP_SPARE_S)
+        return self.keep_s
 
     def refused(self) -> None:
         """Take in that the target has no connection to spare."""
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -86,6 +86,7 @@
         for group in self.groups.values():
             for target in group.targets.values():
                 target.pool.resize(self._limit(group.service))
+                target.pool.keeping.scarce = self._is_scarce(group.service)
 
     def replace(self, infos: t.Iterable[TargetInfo]) -> None:
         """Take over the whole list of targets."""
@@ -174,7 +175,8 @@
             claims_primary=info.claims_primary,
         )
         # Where proxies outnumber connections, they are opened only for work.
-        if self._limits.get(info.service, self._proxies()) >= self._proxies():
+        pool.keeping.scarce = self._is_scarce(info.service)
+        if not pool.keeping.scarce:
             pool.warm()
         return target
 
@@ -196,6 +198,10 @@
         if not exc.full:
             group.suspect(target)
 
+    def _is_scarce(self, service: str) -> bool:
+        proxies = self._proxies()
+        return self._limits.get(service, proxies) < proxies
+
     def _limit(self, service: str) -> int:
         total = self._limits.get(service)
         return _FIRST_LIMIT if total is None else self._share(total)
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -9,6 +9,7 @@
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._group import PING_TIMEOUT_S
 from rosemaryridge.core._group import Group
+from rosemaryridge.core._pool import NO_SLOT
 from rosemaryridge.core._pool import PoolClosed
 from rosemaryridge.core._pool import TurnTooLate
 from rosemaryridge.core._statement import TargetCondition
@@ -252,7 +253,7 @@
     async def _condition(self, target: Target) -> TargetCondition | None:
         deadline = asyncio.get_running_loop().time() + 2 * PING_TIMEOUT_S
         try:
-            link = await target.pool.acquire(-1, deadline, pinned=True)
+            link = await target.pool.acquire(NO_SLOT, deadline, pinned=True)
         except (PoolClosed, TurnTooLate, TimeoutError):
             return None
         try:
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -6,6 +6,7 @@
 from rosemaryridge.core._boottime import boottime
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._freshness import PrimaryHistory
+from rosemaryridge.core._pool import NO_SLOT
 from rosemaryridge.core._pool import PoolClosed
 from rosemaryridge.core._pool import TurnTooLate
 from rosemaryridge.core._statement import Answer
@@ -32,7 +33,6 @@
 _AGE_MARGIN_S = 0.05
 # A fresh position is asked for once the newest is this share of the bound old.
 _REFRESH_SHARE = 0.6
-_PING_PRIORITY = -1
 _RETRY_AFTER_S = 0.5
 
 
@@ -208,7 +208,7 @@
         """
         deadline = self._loop.time() + PING_TIMEOUT_S
         try:
-            link = await target.pool.acquire(_PING_PRIORITY, deadline, pinned=True)
+            link = await target.pool.acquire(NO_SLOT, deadline, pinned=True)
         except (PoolClosed, TurnTooLate):
             return None
         except TimeoutError:
--- a/src/rosemaryridge/core/_placement.py
+++ b/src/rosemaryridge/core/_placement.py
@@ -34,12 +34,18 @@
     now: float,
     rng: random.Random,
 ) -> Target | None:
-    """Return the target that should answer first, under mixed load and lag."""
+    """Return the target that should answer first, under mixed load and lag.
+
+    A replica that lacked such a position a moment ago is left out: beside an
+    overloaded primary, reads would otherwise go round among replicas that lag.
+    """
     best: Target | None = None
     best_cost = float("inf")
     for target in targets:
         if target.id in tried or target.leaving and target.id != primary:
             continue
+        if target.id != primary and _is_pointless(target, need, now):
+            continue
         cost = _cost(target, primary, need, failure_domain, now)
         cost *= 1.0 + 0.1 * rng.random()
         if cost < best_cost:
@@ -47,6 +53,10 @@
     return best
 
 
+def _is_pointless(target: Target, need: ReadNeed, now: float) -> bool:
+    return target.lags(need.position, need.age_s) and now < target.lag_probe_at
+
+
 def _cost(
     target: Target,
     primary: str | None,
@@ -57,7 +67,7 @@
     cost = target.expected_latency_s(now)
     if target.id == primary:
         cost += _PRIMARY_PENALTY_S
-    elif target.applied < need.position and target.lag_s > need.age_s:
+    elif target.lags(need.position, need.age_s):
         cost += _LAGGING_PENALTY_S
     if target.info.failure_domain != failure_domain:
         cost += _REMOTE_PENALTY_S
--- a/src/rosemaryridge/core/_pool.py
+++ b/src/rosemaryridge/core/_pool.py
@@ -18,6 +18,8 @@
 _OPEN_TIMEOUT_S = 0.8
 # After a failure the next connection is opened no sooner than this.
 _RETRY_MIN_S = 0.05
+# Goes before every statement and is not held back by a full target.
+NO_SLOT = -1
 _RETRY_MAX_S = 0.25
 # A target that has no connection to spare is asked again after this.
 _FULL_RETRY_S = 0.3
@@ -124,18 +126,22 @@
     async def acquire(
         self, priority: int, deadline: float, pinned: bool = False
     ) -> Link:
-        """Lend a connection; raise TimeoutError, TurnTooLate or PoolClosed."""
-        if self._may_lend(pinned) and (link := self._take_idle()) is not None:
+        """Lend a connection; raise TimeoutError, TurnTooLate or PoolClosed.
+
+        What takes no slot, such as a ping, has the priority `NO_SLOT`.
+        """
+        urgent = priority == NO_SLOT
+        if self._may_lend(pinned, urgent) and (link := self._take_idle()) is not None:
             return self._lend(link, pinned)
         now = self._loop.time()
         wait_s = self.admission.wait_s(self._ahead(priority, deadline), now)
         crowded = self._waiting or self.admission.paused_s(now) > 0.0
-        if crowded and not pinned and wait_s > deadline - now:
+        if crowded and not urgent and wait_s > deadline - now:
             raise TurnTooLate(wait_s)
         fut: asyncio.Future[Link] = self._loop.create_future()
         number = next(self._numbers)
         heapq.heappush(self._waiting, _Waiter(priority, deadline, number, pinned, fut))
-        if self._may_lend(pinned):
+        if self._may_lend(pinned, urgent):
             self._open()
         else:
             self._arm_pause()
@@ -165,12 +171,12 @@
         self._pinned -= pinned
         self._serve_waiting()
 
-    def _may_lend(self, pinned: bool) -> bool:
-        if pinned:
+    def _may_lend(self, pinned: bool, urgent: bool) -> bool:
+        if urgent:
             return True
         if self.admission.paused_s(self._loop.time()) > 0.0:
             return False
-        return self._lent - self._pinned < self.admission.lanes
+        return pinned or self._lent - self._pinned < self.admission.lanes
 
     def _arm_pause(self) -> None:
         paused_s = self.admission.paused_s(self._loop.time())
@@ -202,7 +208,9 @@
 
     def _serve_waiting(self) -> None:
         """Lend to those who wait, the most urgent first."""
-        while (waiter := self._first()) is not None and self._may_lend(waiter.pinned):
+        while (waiter := self._first()) is not None and self._may_lend(
+            waiter.pinned, waiter.priority == NO_SLOT
+        ):
             link = self._take_idle()
             if link is None:
                 self._open()
@@ -220,15 +228,14 @@
 
     def _arm_sweep(self) -> None:
         if self._sweep is None and self._idle:
-            oldest = self._idle[0][1]
-            self._sweep = self._loop.call_at(
-                oldest + self.keeping.keep_s, self._close_stale
-            )
+            self._sweep = self._loop.call_at(self._stale_at(), self._close_stale)
+
+    def _stale_at(self) -> float:
+        return self._idle[0][1] + self.keeping.idle_s(len(self._idle))
 
     def _close_stale(self) -> None:
         self._sweep = None
-        before = self._loop.time() - self.keeping.keep_s
-        while self._idle and self._idle[0][1] <= before:
+        while self._idle and self._stale_at() <= self._loop.time():
             self._idle.pop(0)[0].close()
         self._arm_sweep()
 
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -425,7 +425,7 @@
     def learn(self, target: Target, need: ReadNeed, answer: Answer) -> None:
         """Take in whether a target's log held what a read needs."""
         if answer.failure is Failure.LAGGING:
-            target.lacked(need.age_s)
+            target.lacked(need.age_s, self._loop.time())
         elif answer.ok:
             target.held(need.age_s, max(need.position, answer.position or ORIGIN))
 
--- a/src/rosemaryridge/core/_target.py
+++ b/src/rosemaryridge/core/_target.py
@@ -18,6 +18,8 @@
 # than this much later.
 _LAG_MARGIN_S = 0.03
 _LAG_MAX_S = 10.0
+# A replica that lags is tried this often, to notice that it has caught up.
+_LAG_PROBE_S = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,6 +34,8 @@
     applied: Position = ORIGIN
     # How far behind the primary the replica seems to apply, in seconds.
     lag_s: float = 0.05
+    # When a read that it probably lags behind may be tried again.
+    lag_probe_at: float = 0.0
     heard_at: float = 0.0
     # Since when nothing has answered, None while it does.
     silent_since: float | None = None
@@ -71,8 +75,9 @@
         """Take in that the target's slots and queue are taken."""
         self.pool.admission.full(now)
 
-    def lacked(self, age_s: float) -> None:
+    def lacked(self, age_s: float, now: float) -> None:
         """Take in that the log lacked a position that old."""
+        self.lag_probe_at = now + _LAG_PROBE_S
         self.lag_s = min(_LAG_MAX_S, max(self.lag_s, age_s + _LAG_MARGIN_S))
 
     def held(self, age_s: float, position: Position) -> None:
@@ -81,6 +86,10 @@
         if age_s < self.lag_s:
             self.lag_s = max(age_s, 0.7 * self.lag_s)
 
+    def lags(self, position: Position, age_s: float) -> bool:
+        """Return whether the log probably lacks a position that old."""
+        return self.applied < position and self.lag_s > age_s
+
     def expected_latency_s(self, now: float) -> float:
         """Return what one more statement may take here."""
         kept = 0.5 ** ((now - self.sampled_at) / _FORGET_S)
