--- a/src/rosemaryridge/core/_follower.py
+++ b/src/rosemaryridge/core/_follower.py
@@ -62,6 +62,9 @@
                 self._log.write("store_history_gone", kind=self._kind, reason=str(exc))
                 self._revision = None
             except StoreError as exc:
+                # A watch that was cut may have missed changes that the next would
+                # not be told of.
+                self._revision = None
                 await self._failed(exc)
             else:
                 self._succeeded()
--- a/src/rosemaryridge_testbed/site/_store.py
+++ b/src/rosemaryridge_testbed/site/_store.py
@@ -28,6 +28,9 @@
         self._page = page
         self._history: list[tuple[int, str, Json, bool]] = []
         self._forgotten = 0
+        # Whether changes are kept from watches.
+        self.deaf = False
+        self._watching: set[web.Request] = set()
         self._changed: asyncio.Event = asyncio.Event()
 
     def application(self) -> web.Application:
@@ -69,7 +72,15 @@
         self._forgotten = self.revision
         self._wake()
 
+    def cut_watches(self) -> None:
+        """Drop the connections of every watch that waits."""
+        for request in self._watching:
+            if request.transport is not None:
+                request.transport.abort()
+
     def _record(self, kind: str, item: Json, gone: bool) -> None:
+        if self.deaf:
+            return
         self._history.append((self.revision, kind, item, gone))
         self._wake()
 
@@ -98,7 +109,11 @@
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
         if "watch" in request.query:
-            return await self._watch(kind, request)
+            self._watching.add(request)
+            try:
+                return await self._watch(kind, request)
+            finally:
+                self._watching.discard(request)
         after = request.query.get("after", "")
         found = sorted(self.objects.get(kind, {}).items())
         items = [item for name, item in found if name > after]
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -318,6 +318,13 @@
         self.site.publish(5)
         await until(lambda: '"version": 5' in self.events())
 
+    async def test_a_change_that_no_watch_heard_is_found_after_the_cut(self):
+        # The bench's compaction on suva-fra scale-1 broke CONFIG this way.
+        self.site.store.deaf = True
+        self.site.publish(6)
+        self.site.store.cut_watches()
+        await until(lambda: '"version": 6' in self.events())
+
     async def test_an_outage_keeps_what_is_known(self):
         client = await self.client()
         self.site.store.fault = "busy"
