--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -24,6 +24,7 @@
 from rosemaryridge.platform import documents
 from rosemaryridge.platform import target
 from rosemaryridge.platform.callers import CallerServer
+from rosemaryridge.platform.http import READINESS_PATH
 from rosemaryridge.platform.http import HttpServer
 from rosemaryridge.platform.promotions import Promotions
 from rosemaryridge.platform.settings import VmSettings
@@ -79,7 +80,13 @@
         self._proxy.directory.ask_home = self._peers.ask
         self._census = Census(cfg.vm, self._store, self._listed, self._log, rng)
         self._callers = CallerServer(self._proxy)
-        self._pages = HttpServer({"/rosemaryridge/readiness": self._readiness})
+        self._pages = HttpServer(
+            {
+                READINESS_PATH: self._readiness,
+                "/metrics": lambda: (200, self._proxy.tally.render()),
+            }
+        )
+        self._proxy.tally.gauges(self._gauges)
         self._followers = (
             Follower(
                 self._store,
@@ -168,6 +175,12 @@
         # Lets the last answers leave.
         await asyncio.sleep(_DRAIN_POLL_S)
 
+    def _gauges(self) -> t.Iterator[tuple[str, tuple[()], float]]:
+        yield "callers", (), len(self._callers.connections)
+        yield "store_calls", (), self._store.calls
+        yield "store_unreachable_seconds", (), self._followers[0].unreachable_s()
+        yield "isolated", (), self._isolated
+
     def _readiness(self) -> tuple[int, bytes]:
         ready = self._proxy.ready and not self._stopping.is_set()
         return (200 if ready and not self._isolated else 503), b""
--- a/src/rosemaryridge/core/_admission.py
+++ b/src/rosemaryridge/core/_admission.py
@@ -4,12 +4,17 @@
 
 # A window grows by one after about this many answers a lane.
 _GROWTH_ANSWERS = 8.0
-# A window shrinks to this share when the target is full, at most once a pause.
+# A window shrinks to this share when the target is full.
 _SHRINK = 0.7
-# A queue of 24 before 3 slots drains by a half in about 100 ms; a target that stays
-# full is left alone twice as long each time, up to most of a statement's limit.
-_PAUSE_MIN_S = 0.05
-_PAUSE_MAX_S = 0.8
+# A queue of 24 before 3 slots drains by a half in about 100 ms. A target that stays
+# full is sent statements half as often each time, at least one a second.
+_SPACING_MIN_S = 0.05
+_SPACING_MAX_S = 1.0
+# Refusals this close together are of statements sent together, and count once.
+_TOGETHER_S = 0.02
+# Each answer shortens the spacing to this share: one refusal in twenty statements
+# keeps it as it is, half of the tenth that attempts may exceed requests by.
+_SPACING_DECAY = 0.965
 # How much one statement moves the average time that a lane is held.
 _HELD_WEIGHT = 0.1
 # What a first statement is expected to take.
@@ -20,21 +25,30 @@
     """Share a target's slots among proxies without a call a request.
 
     It answers a burst beyond the slots: a target that refuses for a full queue
-    narrows the window of each proxy and is left alone for a while, answers widen
-    the window again, and a statement whose turn would come after its deadline is
-    refused at once. The pause makes less than one statement a proxy possible, as
-    many proxies before few slots need.
+    narrows the window of each proxy and spaces its statements, answers undo that,
+    and a statement whose turn would come after its deadline is refused at once. The
+    spacing makes less than one statement a proxy at a time possible, as many
+    proxies before few slots need.
     """
 
-    __slots__ = ("_held_s", "_most", "_pause_s", "_rng", "_until", "_window")
+    __slots__ = (
+        "_full_at",
+        "_held_s",
+        "_most",
+        "_next_at",
+        "_rng",
+        "_spacing_s",
+        "_window",
+    )
 
     def __init__(self, most: int, rng: random.Random):
         self._most = max(1, most)
         self._rng = rng
         self._window = float(self._most)
         self._held_s = _FIRST_HELD_S
-        self._pause_s = _PAUSE_MIN_S
-        self._until = float("-inf")
+        self._spacing_s = 0.0
+        self._next_at = float("-inf")
+        self._full_at = float("-inf")
 
     @property
     def lanes(self) -> int:
@@ -48,27 +62,40 @@
         self._window = float(most) if grown else min(self._window, self._most)
 
     def paused_s(self, now: float) -> float:
-        """Return for how long the target is still left alone."""
-        return max(0.0, self._until - now)
+        """Return for how long no statement is sent."""
+        return max(0.0, self._next_at - now)
+
+    def sent(self, now: float) -> None:
+        """Take in that a statement is sent."""
+        self._space(now)
 
     def full(self, now: float) -> None:
         """Take in that the target refused a statement for a full queue."""
-        if now < self._until:
+        if now - self._full_at < max(_TOGETHER_S, 0.5 * self._spacing_s):
             return
+        self._full_at = now
         self._window = max(1.0, _SHRINK * self._window)
-        self._until = now + self._pause_s * self._rng.uniform(0.5, 1.5)
-        self._pause_s = min(_PAUSE_MAX_S, 2.0 * self._pause_s)
+        longer = max(_SPACING_MIN_S, 2.0 * self._spacing_s)
+        self._spacing_s = min(_SPACING_MAX_S, longer)
+        self._space(now)
 
     def answered(self, held_s: float) -> None:
         """Take in that a statement ran, and for how long it held its lane."""
         self._held_s += _HELD_WEIGHT * (held_s - self._held_s)
-        self._pause_s = max(_PAUSE_MIN_S, 0.5 * self._pause_s)
+        self._spacing_s *= _SPACING_DECAY
+        if self._spacing_s < _SPACING_MIN_S / 2.0:
+            self._spacing_s = 0.0
         grown = self._window + 1.0 / (_GROWTH_ANSWERS * self._window)
         self._window = min(float(self._most), grown)
 
     def wait_s(self, ahead: int, now: float) -> float:
         """Return when a lane comes free for a statement with some ahead of it."""
-        return self.paused_s(now) + (ahead + 1) * self._held_s / self.lanes
+        each_s = max(self._spacing_s, self._held_s / self.lanes)
+        return self.paused_s(now) + (ahead + 1) * each_s
+
+    def _space(self, now: float) -> None:
+        if self._spacing_s:
+            self._next_at = now + self._spacing_s * self._rng.uniform(0.5, 1.5)
 
 
 # Targets close connections that were idle for 60 s by themselves.
--- a/src/rosemaryridge/core/_pool.py
+++ b/src/rosemaryridge/core/_pool.py
@@ -132,7 +132,7 @@
         """
         urgent = priority == NO_SLOT
         if self._may_lend(pinned, urgent) and (link := self._take_idle()) is not None:
-            return self._lend(link, pinned)
+            return self._lend(link, pinned, urgent)
         now = self._loop.time()
         wait_s = self.admission.wait_s(self._ahead(priority, deadline), now)
         crowded = self._waiting or self.admission.paused_s(now) > 0.0
@@ -187,7 +187,9 @@
         self._resume = None
         self._serve_waiting()
 
-    def _lend(self, link: Link, pinned: bool) -> Link:
+    def _lend(self, link: Link, pinned: bool, urgent: bool) -> Link:
+        if not urgent:
+            self.admission.sent(self._loop.time())
         self._lent += 1
         self._pinned += pinned
         return link
@@ -216,7 +218,8 @@
                 self._open()
                 break
             heapq.heappop(self._waiting)
-            waiter.fut.set_result(self._lend(link, waiter.pinned))
+            urgent = waiter.priority == NO_SLOT
+            waiter.fut.set_result(self._lend(link, waiter.pinned, urgent))
         if self._waiting:
             self._arm_pause()
         self._arm_sweep()
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -11,6 +11,8 @@
 from rosemaryridge.core._directory import Directory
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._group import Group
+from rosemaryridge.core._metrics import Labels
+from rosemaryridge.core._metrics import Tally
 from rosemaryridge.core._runner import Runner
 from rosemaryridge.core._session import PreparedNames
 from rosemaryridge.core._statement import Answer
@@ -40,12 +42,14 @@
         on_trouble: t.Callable[[Group], None],
     ):
         self.log = log
+        self.tally = Tally()
+        self.tally.gauges(self._gauges)
         self.config = ConfigHolder()
         self.proxies = _FIRST_PROXIES
         self.directory = Directory(
             connect, log, on_trouble, self._share, lambda: self.proxies, rng
         )
-        self.runner = Runner(failure_domain, rng, PreparedNames(), log)
+        self.runner = Runner(failure_domain, rng, PreparedNames(), log, self.tally)
         self._ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     @property
@@ -94,6 +98,10 @@
         self, database: bytes, statement: Statement, answer: Answer, took_s: float
     ) -> None:
         """Write what became of a statement where it is not plain."""
+        outcome = answer.failure.value if answer.failure else "done"
+        verb = statement.verb.value
+        self.tally.inc("statements_total", verb=verb, outcome=outcome)
+        self.tally.observe("statement_seconds", took_s, verb=verb)
         route = self.config.current.routes.get(database)
         slow = route is not None and took_s > route.latency_target_s
         if answer.ok and not slow:
@@ -102,8 +110,8 @@
             "statement",
             id=statement.id,
             database=database,
-            verb=statement.verb.value,
-            outcome=answer.failure.value if answer.failure else "slow",
+            verb=verb,
+            outcome=outcome if answer.failure else "slow",
             detail=answer.detail,
             took_ms=round(took_s * 1000),
             config=self.config.current.version,
@@ -116,5 +124,23 @@
             self.proxies = proxies
             self.directory.share_changed()
 
+    def _gauges(self) -> t.Iterator[tuple[str, Labels, float]]:
+        yield "proxies", (), self.proxies
+        yield "config_version", (), self.config.current.version
+        yield "log_lines_left_out", (), self.log.left_out
+        now = asyncio.get_running_loop().time()
+        for group in self.directory.groups.values():
+            service = (("service", group.service),)
+            yield "group_term", service, group.term
+            yield "without_primary_seconds", service, group.leaderless_s()
+            for target in group.targets.values():
+                labels = (*service, ("target", target.id))
+                yield "target_leads", labels, target.id == group.primary
+                yield "target_lag_seconds", labels, target.lag_s
+                yield "target_latency_seconds", labels, target.expected_latency_s(now)
+                yield "target_connections", labels, target.pool.size
+                yield "target_waiting", labels, target.pool.waiting
+                yield "target_lanes", labels, target.pool.admission.lanes
+
     def _share(self, connections: int) -> int:
         return max(1, int(connections * (1.0 - _SPARE_SHARE) / self.proxies))
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -8,6 +8,7 @@
 from rosemaryridge.core._config import Route
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._group import Group
+from rosemaryridge.core._metrics import Tally
 from rosemaryridge.core._placement import ReadNeed
 from rosemaryridge.core._placement import choose_for_read
 from rosemaryridge.core._pool import PoolClosed
@@ -54,11 +55,13 @@
         rng: random.Random,
         names: PreparedNames,
         log: EventLog,
+        tally: Tally,
     ):
         self._failure_domain = failure_domain
         self._rng = rng
         self._names = names
         self._log = log
+        self._tally = tally
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -189,6 +192,8 @@
                 link.close()
         now = self._loop.time()
         target.heard(now)
+        outcome = answer.failure.value if answer.failure else "done"
+        self._tally.inc("target_answers_total", service=group.service, outcome=outcome)
         if answer.failure is Failure.BUSY:
             target.full(now)
         elif answer.failure not in NOT_RUN:
--- a/src/rosemaryridge/platform/http.py
+++ b/src/rosemaryridge/platform/http.py
@@ -9,6 +9,8 @@
 from rosemaryridge.exceptions import StoreUnavailable
 from rosemaryridge.model import Endpoint
 
+# Where the platform's balancer asks whether callers are welcome.
+READINESS_PATH = "/rosemaryridge/readiness"
 # A dead or cut peer is noticed by TCP itself: first probe, gap and count.
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_GAP_S = 1
--- a/src/rosemaryridge_testbed/site/_store.py
+++ b/src/rosemaryridge_testbed/site/_store.py
@@ -30,7 +30,7 @@
         self._forgotten = 0
         # Whether changes are kept from watches.
         self.deaf = False
-        self._watching: set[web.Request] = set()
+        self._watching: dict[int, web.Request] = {}
         self._changed: asyncio.Event = asyncio.Event()
 
     def application(self) -> web.Application:
@@ -74,7 +74,7 @@
 
     def cut_watches(self) -> None:
         """Drop the connections of every watch that waits."""
-        for request in self._watching:
+        for request in self._watching.values():
             if request.transport is not None:
                 request.transport.abort()
 
@@ -109,11 +109,11 @@
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
         if "watch" in request.query:
-            self._watching.add(request)
+            self._watching[id(request)] = request
             try:
                 return await self._watch(kind, request)
             finally:
-                self._watching.discard(request)
+                del self._watching[id(request)]
         after = request.query.get("after", "")
         found = sorted(self.objects.get(kind, {}).items())
         items = [item for name, item in found if name > after]
--- /dev/null
+++ b/tests/test_core_decisions.py
@@ -0,0 +1,423 @@
+"""Test the decisions of the lean data path without input and output."""
+
+import asyncio
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rosemaryridge.core import Failure
+from rosemaryridge.core import PrimaryHistory
+from rosemaryridge.core import StatementError
+from rosemaryridge.core import TargetCondition
+from rosemaryridge.core import TargetInfo
+from rosemaryridge.core._admission import Admission
+from rosemaryridge.core._admission import Keeping
+from rosemaryridge.core._census import LiveEntries
+from rosemaryridge.core._failover import NO_CLAIM
+from rosemaryridge.core._failover import Claim
+from rosemaryridge.core._failover import Reason
+from rosemaryridge.core._failover import best_candidate
+from rosemaryridge.core._failover import progress
+from rosemaryridge.core._failover import reason_to_replace
+from rosemaryridge.core._group import Group
+from rosemaryridge.core._metrics import Tally
+from rosemaryridge.core._peers import Peer
+from rosemaryridge.core._peers import Question
+from rosemaryridge.core._peers import Reply
+from rosemaryridge.core._peers import decode
+from rosemaryridge.core._peers import encode
+from rosemaryridge.core._peers import homes
+from rosemaryridge.core._placement import ReadNeed
+from rosemaryridge.core._placement import choose_for_read
+from rosemaryridge.core._pool import Pool
+from rosemaryridge.core._pool import TurnTooLate
+from rosemaryridge.core._target import Target
+from rosemaryridge.core.commands import ConnectFailed
+from rosemaryridge.model import Endpoint
+from rosemaryridge.model import Position
+
+
+class StubLog:
+    def __init__(self):
+        self.events = []
+        self.left_out = 0
+
+    def write(self, event, **fields):
+        self.events.append((event, fields))
+
+
+class StubLink:
+    def __init__(self):
+        self.closed = False
+        self.busy = False
+
+    def close(self):
+        self.closed = True
+
+
+def info(name, zone="a", **fields):
+    return TargetInfo(name, "books", Endpoint("10.0.0.1", 1), zone, 3, 1, **fields)
+
+
+async def connect(_info, _timeout_s):
+    return StubLink()
+
+
+class GroupCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.rng = random.Random(7)
+
+    def group(self, *names):
+        group = Group("books", StubLog(), lambda group: None)
+        for name in names:
+            group.targets[name] = self.target(name)
+        return group
+
+    def target(self, name, zone="a"):
+        pool = Pool(
+            info(name, zone), 4, connect, lambda: None, lambda exc: None, self.rng
+        )
+        return Target(info(name, zone), pool)
+
+
+def condition(received, primary=False, term=1):
+    return TargetCondition(primary, term, Position(*received), 0, 0.0, 0, 0)
+
+
+class LeadTest(GroupCase):
+    async def test_a_new_primary_may_start_with_an_older_position(self):
+        group = self.group("a", "b")
+        group.proved(group.targets["a"], Position(1, 212), 1.0)
+        group.proved(group.targets["b"], Position(1, 211), 2.0)
+        self.assertEqual(group.primary, "b")
+        # What the former primary alone had is needed no longer.
+        self.assertEqual(group._history.newest(), (Position(1, 211), 2.0))
+
+    async def test_a_late_answer_of_the_former_primary_changes_nothing(self):
+        group = self.group("a", "b")
+        group.proved(group.targets["b"], Position(1, 211), 2.0)
+        group.proved(group.targets["a"], Position(1, 212), 1.0)
+        self.assertEqual(group.primary, "b")
+
+    async def test_an_older_term_proves_nothing(self):
+        group = self.group("a", "b")
+        group.proved(group.targets["b"], Position(2, 1), 1.0)
+        group.proved(group.targets["a"], Position(1, 900), 5.0)
+        self.assertEqual(group.primary, "b")
+
+    async def test_statements_end_at_once_where_the_proxy_is_cut_off(self):
+        group = self.group()
+        loop = asyncio.get_running_loop()
+        waiting = asyncio.ensure_future(group.wait_for_lead(loop.time() + 60.0))
+        await asyncio.sleep(0)
+        group.set_cut_off(True)
+        with self.assertRaises(StatementError) as caught:
+            await waiting
+        self.assertIs(caught.exception.failure, Failure.BUSY)
+        self.assertIsNotNone(caught.exception.retry_after_s)
+        group._search.cancel()
+
+
+class ReasonTest(GroupCase):
+    async def test_reasons(self):
+        group = self.group("a", "b")
+        self.assertIs(reason_to_replace(group, 0.0), Reason.NONE)
+        group.primary = "a"
+        lead = group.targets["a"]
+        self.assertIsNone(reason_to_replace(group, 0.0))
+        lead.silent(1.0)
+        self.assertIs(reason_to_replace(group, 1.0), Reason.SILENT)
+        lead.leaving = True
+        self.assertIs(reason_to_replace(group, 1.0), Reason.LEAVING)
+        lead.refused(1.0)
+        self.assertIs(reason_to_replace(group, 1.0), Reason.REFUSED)
+        lead.heard(2.0)
+        lead.leaving = False
+        self.assertIsNone(reason_to_replace(group, 2.0))
+
+    async def test_the_replica_that_received_most_takes_over(self):
+        group = self.group("a", "b", "c", "d")
+        group.primary = "a"
+        group.targets["d"].leaving = True
+        conditions = {
+            "b": condition((1, 10)),
+            "c": condition((1, 12)),
+            "d": condition((1, 40)),
+        }
+        self.assertEqual(best_candidate(group, conditions).id, "c")
+
+    async def test_a_replica_that_answers_goes_before_one_that_does_not(self):
+        group = self.group("a", "b", "c")
+        group.primary = "a"
+        group.targets["c"].applied = Position(1, 99)
+        self.assertEqual(best_candidate(group, {"b": condition((1, 1))}).id, "b")
+        group.targets["b"].refused(1.0)
+        group.targets["c"].silent(1.0)
+        self.assertIsNone(best_candidate(group, {}))
+
+    async def test_what_speaks_against_a_promotion(self):
+        still = {"b": condition((1, 10))}
+        self.assertEqual(progress(still, still), "")
+        self.assertIn("receives", progress(still, {"b": condition((1, 11))}))
+        self.assertIn("leads", progress(still, {"b": condition((2, 10), True, 2)}))
+        self.assertIn("no replica", progress(still, {}))
+
+    def test_a_claim_that_cannot_be_read_counts_as_none(self):
+        for spec in (None, {}, {"fence": "x"}, [], {"fence": 1, "holder": "v"}):
+            self.assertEqual(Claim.decode(spec), NO_CLAIM)
+
+
+class AdmissionTest(unittest.TestCase):
+    def setUp(self):
+        self.admission = Admission(4, random.Random(1))
+
+    def test_refusals_narrow_and_answers_widen(self):
+        now = 0.0
+        for _ in range(10):
+            self.admission.full(now)
+            now += 10.0
+        self.assertEqual(self.admission.lanes, 1)
+        for _ in range(400):
+            self.admission.answered(0.03)
+        self.assertEqual(self.admission.lanes, 4)
+
+    def test_refusals_of_one_pause_count_once(self):
+        for _ in range(50):
+            self.admission.full(0.0)
+        self.assertGreater(self.admission.lanes, 1)
+
+    def test_a_target_that_stays_full_is_sent_less_and_less(self):
+        pauses, now = [], 0.0
+        for _ in range(8):
+            self.admission.full(now)
+            pauses.append(self.admission.paused_s(now))
+            now += 10.0
+        self.assertGreater(pauses[-1], 4 * pauses[0])
+        self.assertLessEqual(max(pauses), 1.5)
+        for _ in range(200):
+            self.admission.answered(0.03)
+        self.admission.sent(now)
+        self.assertEqual(self.admission.paused_s(now), 0.0)
+
+    def test_many_proxies_do_not_fill_few_slots_with_refusals(self):
+        # 139 proxies before 6 slots and 40 places, 33 ms a statement, all with work
+        # without end. Attempts may exceed requests by a tenth and goodput may fall
+        # by a tenth.
+        rng = random.Random(3)
+        proxies = [Admission(2, rng) for _ in range(139)]
+        sent = [0] * len(proxies)
+        queue, ran, refused, credit = [], 0, 0, 0.0
+        for tick in range(8000):
+            now = tick * 0.005
+            credit = min(6.0, credit + 6 * 0.005 / 0.033)
+            while credit >= 1.0 and queue:
+                index = queue.pop(0)
+                sent[index] -= 1
+                proxies[index].answered(0.2)
+                credit -= 1.0
+                ran += now > 20.0
+            for index in rng.sample(range(len(proxies)), len(proxies)):
+                admission = proxies[index]
+                if admission.paused_s(now) > 0.0 or sent[index] >= admission.lanes:
+                    continue
+                admission.sent(now)
+                if len(queue) >= 46:
+                    admission.full(now)
+                    refused += now > 20.0
+                else:
+                    queue.append(index)
+                    sent[index] += 1
+        self.assertGreater(ran, 0.9 * 20.0 * 6 / 0.033)
+        self.assertLess(refused, 0.1 * ran)
+
+    def test_idle_connections_go_sooner_where_they_are_scarce(self):
+        keeping = Keeping()
+        self.assertGreater(keeping.idle_s(1), 30.0)
+        self.assertLess(keeping.idle_s(2), 5.0)
+        for _ in range(10):
+            keeping.refused()
+        shortest = keeping.keep_s
+        self.assertLess(shortest, 1.0)
+        keeping.opened()
+        self.assertGreater(keeping.keep_s, shortest)
+
+
+class PoolTest(GroupCase):
+    async def test_the_most_urgent_goes_first(self):
+        pool = self.target("a").pool
+        pool.resize(1)
+        end = asyncio.get_running_loop().time() + 5.0
+        held = await pool.acquire(1, end)
+        late, urgent = (
+            asyncio.ensure_future(pool.acquire(priority, end)) for priority in (2, 0)
+        )
+        await asyncio.sleep(0)
+        pool.release(held)
+        await asyncio.sleep(0)
+        self.assertTrue(urgent.done())
+        self.assertFalse(late.done())
+        pool.release(urgent.result())
+        pool.release(await late)
+
+    async def test_a_turn_after_the_deadline_is_refused_at_once(self):
+        pool = self.target("a").pool
+        now = asyncio.get_running_loop().time()
+        pool.admission.full(now)
+        with self.assertRaises(TurnTooLate):
+            await pool.acquire(1, now + 0.01)
+
+    async def test_one_who_gives_up_passes_the_connection_on(self):
+        pool = self.target("a").pool
+        pool.resize(1)
+        loop = asyncio.get_running_loop()
+        held = await pool.acquire(1, loop.time() + 1.0)
+        waiting = asyncio.ensure_future(pool.acquire(1, loop.time() + 1.0))
+        await asyncio.sleep(0)
+        pool.release(held)
+        waiting.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await waiting
+        self.assertEqual((pool.lent, pool.free), (0, 1))
+
+    async def test_a_connection_in_use_by_an_answer_is_not_lent_again(self):
+        pool = self.target("a").pool
+        end = asyncio.get_running_loop().time() + 1.0
+        link = await pool.acquire(1, end)
+        link.busy = True
+        pool.release(link)
+        self.assertTrue(link.closed)
+
+    async def test_a_target_that_takes_no_more_connections_shortens_their_stay(self):
+        async def refuse(_info, _timeout_s):
+            raise ConnectFailed("too many", full=True)
+
+        pool = Pool(info("a"), 2, refuse, lambda: None, lambda exc: None, self.rng)
+        before = pool.keeping.keep_s
+        pool.warm()
+        await asyncio.sleep(0.01)
+        self.assertLess(pool.keeping.keep_s, before)
+
+
+class PlacementTest(GroupCase):
+    def choose(self, targets, need, tried=(), primary="a"):
+        rng = random.Random(1)
+        found = choose_for_read(targets, primary, need, "z1", tried, 100.0, rng)
+        return found.id if found else None
+
+    async def test_a_near_replica_goes_first(self):
+        targets = [
+            self.target("a", "z2"),
+            self.target("b", "z2"),
+            self.target("c", "z1"),
+        ]
+        need = ReadNeed(Position(1, 5), 1.0)
+        self.assertEqual(self.choose(targets, need), "c")
+        self.assertEqual(self.choose(targets, need, {"c"}), "b")
+        self.assertIsNone(self.choose(targets, need, {"a", "b", "c"}))
+
+    async def test_a_replica_that_lacked_it_is_left_out_for_a_moment(self):
+        targets = [self.target("a", "z2"), self.target("c", "z1")]
+        need = ReadNeed(Position(1, 5), 1.0)
+        targets[1].lacked(1.0, now=100.0)
+        self.assertEqual(self.choose(targets, need), "a")
+        self.assertIsNone(self.choose(targets, need, {"a"}))
+        targets[1].held(2.0, Position(1, 6))
+        self.assertEqual(self.choose(targets, need), "c")
+
+    async def test_a_leaving_or_silent_target_is_avoided(self):
+        targets = [
+            self.target("a", "z2"),
+            self.target("b", "z1"),
+            self.target("c", "z1"),
+        ]
+        targets[1].leaving = True
+        targets[2].silent(99.0)
+        self.assertEqual(self.choose(targets, ReadNeed(Position(), 1.0)), "a")
+
+
+class HistoryTest(unittest.TestCase):
+    @given(
+        st.lists(
+            st.tuples(st.floats(0, 5), st.integers(0, 3)), min_size=1, max_size=60
+        ),
+        st.floats(0, 60),
+    )
+    def test_a_floor_is_never_older_than_asked(self, steps, since):
+        history, time, number = PrimaryHistory(), 0.0, 0
+        observed = []
+        for gap, commits in steps:
+            time, number = time + gap, number + commits
+            history.observe(Position(1, number), time)
+            observed.append((time, number))
+        found = history.position_since(since)
+        if found is None:
+            self.assertLess(time, since)
+            return
+        position, proved_at = found
+        self.assertGreaterEqual(proved_at, since)
+        # Whatever was there at the asked time is held by the floor.
+        before = [number for at, number in observed if at <= since]
+        self.assertGreaterEqual(position.lsn, max(before, default=0))
+
+
+class PeersTest(unittest.TestCase):
+    def peers(self, count, zone="z1"):
+        return [Peer(f"vm-{n}", zone, Endpoint("10.0.0.1", n)) for n in range(count)]
+
+    def test_every_proxy_names_the_same_homes(self):
+        peers = self.peers(9) + self.peers(9, "z2")
+        self.assertEqual(homes("books", peers, "z1"), homes("books", peers[::-1], "z1"))
+        self.assertEqual(
+            {p.failure_domain for p in homes("books", peers, "z1")}, {"z1"}
+        )
+
+    def test_groups_have_homes_of_their_own(self):
+        peers = self.peers(30)
+        first = {homes(f"service-{n}", peers, "z1")[0].vm for n in range(40)}
+        self.assertGreater(len(first), 10)
+
+    def test_messages_read_back(self):
+        for message in (Question(7, "books"), Reply(7, 3, 1207, 0.25)):
+            self.assertEqual(decode(encode(message)), message)
+
+    @given(st.binary(max_size=40))
+    def test_any_datagram_is_read_or_refused(self, data):
+        try:
+            decode(data)
+        except (ValueError, TypeError):
+            pass
+
+    def test_an_age_below_zero_is_refused(self):
+        for data in (b"[1, 2, 3, -0.5]", b"[1, 2, 3, NaN]"):
+            with self.assertRaises(ValueError):
+                decode(data)
+
+
+class CensusTest(unittest.TestCase):
+    def test_entries_that_are_not_renewed_count_no_longer(self):
+        live = LiveEntries()
+        self.assertEqual(live.of({"a": 1, "b": 2}, 0.0), {"a", "b"})
+        self.assertEqual(live.of({"a": 9, "b": 2}, 170.0), {"a", "b"})
+        self.assertEqual(live.of({"a": 9, "b": 2}, 200.0), {"a"})
+        self.assertEqual(live.of({"b": 3}, 210.0), {"b"})
+
+
+class TallyTest(unittest.TestCase):
+    def test_counts_and_times_are_shown(self):
+        tally = Tally()
+        tally.inc("statements_total", verb="read", outcome="done")
+        tally.observe("statement_seconds", 0.03, verb="read")
+        tally.observe("statement_seconds", 9.0, verb="read")
+        tally.gauges(lambda: [("proxies", (), 3)])
+        text = tally.render().decode()
+        prefix = "rosemaryridge_entry_"
+        self.assertIn(f'{prefix}statements_total{{verb="read",outcome="done"}} 1', text)
+        self.assertIn(
+            f'{prefix}statement_seconds_bucket{{verb="read",le="0.05"}} 1', text
+        )
+        self.assertIn(
+            f'{prefix}statement_seconds_bucket{{verb="read",le="+Inf"}} 2', text
+        )
+        self.assertIn(f"{prefix}proxies 3", text)
