Never promote a log that a promotion left behind

Now all targets but one must tell their conditions for 4 s, the claim names the deposed primary, and a target that was promoted since is asked first.

--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -28,6 +28,9 @@
 _CLAIM_S = 2.5
 # A group without any primary that answers is left to those that act for this long.
 _LEADERLESS_S = 1.2
+# A promotion waits this long for the conditions of all targets but one; a target
+# that lapses from the store takes three heartbeats of 1.2 s.
+_ALONE_S = 4.0
 # How long a promotion may take until the target is seen to lead.
 _PROMOTION_S = 3.0
 _POLL_S = 0.06
@@ -48,19 +51,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
-    """Record in the store which proxy replaces the primary of which term."""
+    """Record in the store which proxy replaces the primary of which term.
+
+    `deposed` is the primary that was replaced; what it alone holds is not part of
+    the log any more.
+    """
 
     fence: int
     holder: str
     term: int
     target: str
+    deposed: str = ""
 
     @classmethod
     def decode(cls, spec: t.Any) -> "Claim":
         """Return a stored claim; one that cannot be read counts as none."""
         try:
             return cls(
-                int(spec["fence"]), spec["holder"], int(spec["term"]), spec["target"]
+                int(spec["fence"]),
+                spec["holder"],
+                int(spec["term"]),
+                spec["target"],
+                spec.get("deposed", ""),
             )
         except (KeyError, TypeError, ValueError):
             return NO_CLAIM
@@ -119,26 +131,70 @@
     return None
 
 
-def best_candidate(
-    group: Group, conditions: t.Mapping[str, TargetCondition]
-) -> Target | None:
-    """Return the replica that has received most, of those that stay."""
-
-    def rank(target: Target) -> tuple:
-        condition = conditions.get(target.id)
-        received = condition.received if condition else target.applied
-        return (condition is not None, received, target.id)
-
-    fit = [
-        target
-        for target in group.targets.values()
-        if target.id != group.primary
-        and not target.leaving
-        and target.removed_at is None
-        and target.refused_at is None
-        and (target.id in conditions or target.silent_since is None)
-    ]
-    return max(fit, key=rank, default=None)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Name the next primary, or say why none is named.
+
+    `leader` is a target that leads already, as it seems.
+    """
+
+    target: Target | None = None
+    why: str = ""
+    leader: Target | None = None
+
+
+def choose_successor(
+    group: Group,
+    claim: Claim,
+    conditions: t.Mapping[str, TargetCondition],
+    alone: bool = False,
+) -> Verdict:
+    """Decide which target should lead next.
+
+    It answers a primary that is lost, and proxies whose view is old or partial: all
+    targets but one must have told their conditions, unless `alone` says that this
+    has lasted, and no log that was left behind by a promotion may come back.
+    """
+    for name, condition in conditions.items():
+        if condition.primary and name in group.targets:
+            return Verdict(why=f"{name} leads", leader=group.targets[name])
+    claimed = group.targets.get(claim.target)
+    if claimed is not None and _leads_since(group, claim, claimed, conditions):
+        return Verdict(why=f"{claimed.id} was promoted", leader=claimed)
+    if not alone and len(conditions) < len(group.targets) - 1:
+        answered = f"{len(conditions)} of {len(group.targets)}"
+        return Verdict(why=f"only {answered} targets tell their condition")
+    fit = [one for one in group.targets.values() if _is_fit(one, group, conditions)]
+    fit = [one for one in fit if not _is_left_behind(one.id, claim, conditions)]
+    target = max(
+        fit, key=lambda one: (conditions[one.id].received, one.id), default=None
+    )
+    return Verdict(target, "" if target else "no replica can take over")
+
+
+def _leads_since(
+    group: Group,
+    claim: Claim,
+    claimed: Target,
+    conditions: t.Mapping[str, TargetCondition],
+) -> bool:
+    newest = max((one.term for one in conditions.values()), default=0)
+    lost = claimed.leaving or claimed.silent_since is not None
+    return claimed.id != group.primary and newest > claim.term and not lost
+
+
+def _is_fit(
+    target: Target, group: Group, conditions: t.Mapping[str, TargetCondition]
+) -> bool:
+    present = target.id in conditions and target.removed_at is None
+    return present and target.id != group.primary and not target.leaving
+
+
+def _is_left_behind(
+    name: str, claim: Claim, conditions: t.Mapping[str, TargetCondition]
+) -> bool:
+    """Return whether a deposed primary has received nothing of a newer term."""
+    return name == claim.deposed and conditions[name].received.term <= claim.term
 
 
 class Failover:
@@ -183,50 +239,58 @@
             if reason is Reason.NONE and waited_s < _LEADERLESS_S:
                 await asyncio.sleep(_POLL_S)
                 continue
+            alone = loop.time() - since > _ALONE_S
             try:
-                if await self._replace(group, reason):
+                if await self._replace(group, reason, alone):
                     return
             except StoreError as exc:
                 self._note(group, reason, f"the platform failed: {exc}")
+                # A proxy that was cut off sees the targets anew from now on.
+                since = loop.time()
             await asyncio.sleep(_RETRY_S * self._rng.uniform(0.7, 1.3))
 
-    async def _replace(self, group: Group, reason: Reason) -> bool:
+    async def _replace(self, group: Group, reason: Reason, alone: bool) -> bool:
         old = group.lead
-        conditions = await self._conditions(group)
-        if old is not group.lead:
-            return False
-        if reason in _UNCERTAIN and not await self._is_dead(group, conditions):
+        stored = await self._store.get(CLAIMS_KIND, group.service)
+        claim = Claim.decode(stored.spec)
+        if claim.term >= group.term and self._is_respected(group, stored.revision):
             return False
-        leading = [name for name, one in conditions.items() if one.primary]
-        if leading:
-            # Another proxy has replaced the primary; this one learns of it late.
-            if (target := group.targets.get(leading[0])) is not None:
-                await group.check(target)
+        conditions = await self._conditions(group)
+        if reason in _UNCERTAIN:
+            conditions = await self._if_dead(group, conditions)
+        if not conditions or old is not group.lead:
             return False
-        target = best_candidate(group, conditions)
-        if target is None:
-            self._note(group, reason, "no replica can take over")
+        verdict = choose_successor(group, claim, conditions, alone)
+        if verdict.target is None:
+            self._note(group, reason, verdict.why)
+            if verdict.leader is not None:
+                await group.check(verdict.leader)
             return False
-        term = max([group.term, *(one.term for one in conditions.values())])
-        fence = await self._claim(group, term, target)
-        if fence is None:
+        own = Claim(
+            claim.fence + 1,
+            self._vm,
+            max([group.term, *(one.term for one in conditions.values())]),
+            verdict.target.id,
+            old.id if old else claim.target,
+        )
+        if not await self._claim(group, own, stored.revision):
             return False
         self._log.write(
             "promotion_ordered",
             service=group.service,
             reason=reason.value,
-            primary=old.id if old else None,
-            term=term,
-            target=target.id,
-            fence=fence,
+            primary=own.deposed,
+            term=own.term,
+            target=own.target,
+            fence=own.fence,
             received={name: str(one.received) for name, one in conditions.items()},
         )
-        return await self._promote(group, target, fence)
+        return await self._promote(group, verdict.target, own.fence)
 
-    async def _is_dead(
-        self, group: Group, before: t.Mapping[str, TargetCondition]
-    ) -> bool:
-        """Return whether no primary works for anybody.
+    async def _if_dead(
+        self, group: Group, before: dict[str, TargetCondition]
+    ) -> dict[str, TargetCondition]:
+        """Return the newest conditions if no primary works for anybody, else none.
 
         Replicas that go on receiving show that others still reach it.
         """
@@ -234,12 +298,12 @@
         checks = [group.check(one) for one in group.targets.values()]
         await asyncio.gather(asyncio.sleep(_PROGRESS_S), *checks)
         if group.lead is not lead or lead and lead.silent_since is None:
-            return False
+            return {}
         after = await self._conditions(group)
         why = progress(before, after)
         if why:
             self._note(group, None, why)
-        return not why
+        return {} if why else after
 
     async def _conditions(self, group: Group) -> dict[str, TargetCondition]:
         others = [one for one in group.targets.values() if one is not group.lead]
@@ -258,35 +322,30 @@
             return None
         try:
             async with asyncio.timeout_at(deadline):
-                condition = await link.ask_condition()
+                while (condition := await link.ask_condition()) is None:
+                    # The target had no slot for the question.
+                    await asyncio.sleep(_POLL_S)
         except (TargetLost, TimeoutError):
             target.pool.discard(link, pinned=True)
             return None
         target.pool.release(link, pinned=True)
         return condition
 
-    async def _claim(self, group: Group, term: int, target: Target) -> int | None:
-        """Return the fence of an own claim, None where another proxy acts."""
-        stored = await self._store.get(CLAIMS_KIND, group.service)
-        claim = Claim.decode(stored.spec)
-        if claim.term >= term and self._is_respected(group, stored.revision):
-            return None
-        own = Claim(claim.fence + 1, self._vm, term, target.id)
+    async def _claim(self, group: Group, own: Claim, revision: int) -> bool:
+        """Write an own claim; return whether no other proxy was first."""
         spec = dataclasses.asdict(own)
         try:
-            revision = await self._store.put(
-                CLAIMS_KIND, group.service, spec, stored.revision
-            )
+            revision = await self._store.put(CLAIMS_KIND, group.service, spec, revision)
         except StoreConflict:
-            return None
+            return False
         except StoreUnavailable:
             # The write may have been made; only what is stored tells.
             stored = await self._store.get(CLAIMS_KIND, group.service)
             if Claim.decode(stored.spec) != own:
-                return None
+                return False
             revision = stored.revision
         self._seen[group.service] = (revision, asyncio.get_running_loop().time())
-        return own.fence
+        return True
 
     def _is_respected(self, group: Group, revision: int) -> bool:
         now = asyncio.get_running_loop().time()
--- a/tests/test_core_decisions.py
+++ b/tests/test_core_decisions.py
@@ -18,7 +18,7 @@
 from rosemaryridge.core._failover import NO_CLAIM
 from rosemaryridge.core._failover import Claim
 from rosemaryridge.core._failover import Reason
-from rosemaryridge.core._failover import best_candidate
+from rosemaryridge.core._failover import choose_successor
 from rosemaryridge.core._failover import progress
 from rosemaryridge.core._failover import reason_to_replace
 from rosemaryridge.core._group import Group
@@ -137,6 +137,10 @@
         lead.leaving = False
         self.assertIsNone(reason_to_replace(group, 2.0))
 
+    def successor(self, group, conditions, claim=NO_CLAIM, alone=False):
+        verdict = choose_successor(group, claim, conditions, alone)
+        return verdict.target.id if verdict.target else None
+
     async def test_the_replica_that_received_most_takes_over(self):
         group = self.group("a", "b", "c", "d")
         group.primary = "a"
@@ -146,16 +150,45 @@
             "c": condition((1, 12)),
             "d": condition((1, 40)),
         }
-        self.assertEqual(best_candidate(group, conditions).id, "c")
+        self.assertEqual(self.successor(group, conditions), "c")
+
+    async def test_one_target_alone_takes_over_only_after_a_while(self):
+        group = self.group("a", "b", "c")
+        group.primary = "a"
+        conditions = {"b": condition((1, 10))}
+        self.assertIsNone(self.successor(group, conditions))
+        self.assertEqual(self.successor(group, conditions, alone=True), "b")
 
-    async def test_a_replica_that_answers_goes_before_one_that_does_not(self):
+    async def test_a_deposed_primary_does_not_bring_its_tail_back(self):
+        # Seen on kandjimi grown scale-1: a proxy that a cut had kept with the old
+        # primary promoted it again and rolled 216 commits back.
         group = self.group("a", "b", "c")
+        group.targets["b"].silent(1.0)
+        claim = Claim(1, "vm-1", 1, "b", deposed="a")
+        tail = {"a": condition((1, 205), term=2)}
+        self.assertIsNone(self.successor(group, tail, claim))
+        self.assertIsNone(self.successor(group, tail, claim, alone=True))
+        both = tail | {"c": condition((1, 167), term=2)}
+        self.assertEqual(self.successor(group, both, claim), "c")
+        rejoined = {"a": condition((2, 170)), "c": condition((2, 169))}
+        self.assertEqual(self.successor(group, rejoined, claim), "a")
+
+    async def test_a_proxy_that_missed_a_promotion_orders_no_other(self):
+        group = self.group("a", "b", "c", "d")
         group.primary = "a"
-        group.targets["c"].applied = Position(1, 99)
-        self.assertEqual(best_candidate(group, {"b": condition((1, 1))}).id, "b")
-        group.targets["b"].refused(1.0)
-        group.targets["c"].silent(1.0)
-        self.assertIsNone(best_candidate(group, {}))
+        group.targets["a"].leaving = True
+        claim = Claim(1, "vm-1", 1, "b", deposed="a")
+        followers = {n: condition((1, 9), term=2) for n in ("c", "d")}
+        verdict = choose_successor(group, claim, followers, alone=True)
+        self.assertEqual((verdict.target, verdict.leader.id), (None, "b"))
+        group.targets["b"].silent(1.0)
+        self.assertEqual(self.successor(group, followers, claim, alone=True), "d")
+
+    async def test_a_target_that_leads_is_not_replaced(self):
+        group = self.group("a", "b", "c")
+        conditions = {"b": condition((2, 1), True, 2), "c": condition((1, 9))}
+        verdict = choose_successor(group, NO_CLAIM, conditions)
+        self.assertEqual((verdict.target, verdict.leader.id), (None, "b"))
 
     async def test_what_speaks_against_a_promotion(self):
         still = {"b": condition((1, 10))}
