Let no second try of a read run after the first was answered

Ruled out: cancelling the tries that were sent (their connections would be lost). A read that reached no target is now refused as not run. The test holds every connection and fails on the former code.

--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -351,6 +351,21 @@
         group: Group,
         statement: Statement,
         deadline: float,
+    ) -> Answer:
+        race = _Race()
+        try:
+            return await self._race(race, session, route, group, statement, deadline)
+        finally:
+            race.over = True
+
+    async def _race(
+        self,
+        race: "_Race",
+        session: Session,
+        route: Route,
+        group: Group,
+        statement: Statement,
+        deadline: float,
     ) -> Answer:
         tried: set[str] = set()
         retry_s = _RETRY_MIN_S
@@ -375,7 +390,14 @@
                 running.add(
                     self.spawn(
                         self._try_read(
-                            session, route, group, target, need, statement, deadline
+                            race,
+                            session,
+                            route,
+                            group,
+                            target,
+                            need,
+                            statement,
+                            deadline,
                         )
                     )
                 )
@@ -391,12 +413,13 @@
                 if answer is not None:
                     last = (answer.failure, answer.detail)
             if self._loop.time() >= deadline:
-                if running:
+                if race.sent and running:
                     raise StatementError(Failure.TIMEOUT, "no target answered in time")
                 raise StatementError(last[0], last[1], 0.2)
 
     async def _try_read(
         self,
+        race: "_Race",
         session: Session,
         route: Route,
         group: Group,
@@ -411,6 +434,11 @@
             return Answer(failure=exc.failure, detail=exc.detail)
         if link is None:
             return None
+        if race.over:
+            # The caller has its answer and may have changed its session since.
+            target.pool.release(link)
+            return None
+        race.sent = True
         patience = max(deadline, self._loop.time() + _ABANDONED_S)
         try:
             answer = await self.exchange(
@@ -456,6 +484,16 @@
         return ReadNeed(*floor)
 
 
+class _Race:
+    """Note whether a read was sent to any target, and whether it has ended."""
+
+    __slots__ = ("over", "sent")
+
+    def __init__(self) -> None:
+        self.over = False
+        self.sent = False
+
+
 def _idle(answer: Answer) -> Answer:
     """Return an answer as a caller outside a transaction sees it."""
     return Answer(
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -183,6 +183,40 @@
             self.assertEqual((await client.ask("READ k")).rows, (f"{number}",))
 
 
+class RaceTest(SiteCase):
+    options = SiteOptions(timeout_ms=3000)
+
+    async def test_a_second_try_does_not_run_after_the_answer(self):
+        # Seen on suva grown trouble-2 (PINNED): it ran with values set since.
+        client = await self.client("books-browse")
+        await client.ask("SET v old")
+        self.assertEqual((await client.ask("READ k")).code, "")
+        targets = self.entries[0]._proxy.directory.groups["books"].targets
+        held = {name: await self._hold(one) for name, one in targets.items()}
+        read = asyncio.create_task(client.ask("READ other"))
+        # Time for a try at each target.
+        await asyncio.sleep(1.0)
+        self._release(targets["books-0"], held.pop("books-0"))
+        self.assertEqual((await read).code, "")
+        await client.ask("SET v new")
+        for name, links in held.items():
+            self._release(targets[name], links)
+        await asyncio.sleep(0.2)
+        ran = [one for one in self.group.ran if one.text == "READ other"]
+        self.assertEqual([one.values for one in ran], [{"v": "old"}])
+
+    async def _hold(self, target):
+        end = asyncio.get_running_loop().time() + 1.0
+        links = []
+        while target.pool.free:
+            links.append(await target.pool.acquire(0, end))
+        return links
+
+    def _release(self, target, links):
+        for link in links:
+            target.pool.release(link)
+
+
 class FailoverTest(SiteCase):
     proxies = 2
 
