Log what each statement met; make fewer calls to the store

One follower asks a store that does not answer, changes are gathered for 1 s, and a proxy that starts again leaves its entry as it is. Each logged statement shows its trail: what it needed, where it waited and what each target answered.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -13,6 +13,7 @@
 from rosemaryridge.core import EventLog
 from rosemaryridge.core import Failover
 from rosemaryridge.core import Follower
+from rosemaryridge.core import Outage
 from rosemaryridge.core import Peer
 from rosemaryridge.core import Peers
 from rosemaryridge.core import Proxy
@@ -87,6 +88,7 @@
             }
         )
         self._proxy.tally.gauges(self._gauges)
+        outage = Outage()
         self._followers = (
             Follower(
                 self._store,
@@ -95,6 +97,7 @@
                 lambda change: self._adopt_configs((change.object,)),
                 self._log,
                 rng,
+                outage,
             ),
             Follower(
                 self._store,
@@ -103,6 +106,7 @@
                 self._change_target,
                 self._log,
                 rng,
+                outage,
             ),
         )
 
--- a/src/rosemaryridge/core/__init__.py
+++ b/src/rosemaryridge/core/__init__.py
@@ -11,6 +11,7 @@
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._failover import Failover
 from rosemaryridge.core._follower import Follower
+from rosemaryridge.core._follower import Outage
 from rosemaryridge.core._freshness import PrimaryHistory
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._peers import Peer
@@ -40,6 +41,7 @@
     "FleetConfig",
     "Follower",
     "Group",
+    "Outage",
     "Peer",
     "Peers",
     "PrimaryHistory",
--- a/src/rosemaryridge/core/_caller.py
+++ b/src/rosemaryridge/core/_caller.py
@@ -51,6 +51,7 @@
     async def serve(self, statement: Statement) -> Answer:
         """Return the answer to one statement."""
         started = asyncio.get_running_loop().time()
+        self._session.trail.clear()
         try:
             answer = await self._serve(statement)
         except StatementError as exc:
@@ -59,7 +60,7 @@
                 detail = f"{detail}; retry after {int(exc.retry_after_s * 1000)} ms"
             answer = Answer(failure=exc.failure, detail=detail, state=self.state)
         took_s = asyncio.get_running_loop().time() - started
-        self._proxy.record(self._session.database, statement, answer, took_s)
+        self._proxy.record(self._session, statement, answer, took_s)
         return answer
 
     def malformed(self, detail: str) -> Answer:
--- a/src/rosemaryridge/core/_census.py
+++ b/src/rosemaryridge/core/_census.py
@@ -96,11 +96,12 @@
         return _COUNT_PERIOD_S
 
     async def _renew(self) -> None:
-        """Write the own entry; one of an earlier process is replaced."""
+        """Write the own entry; that of an earlier process stands until the renewal."""
         self._renewals += 1
         spec = {**self.described, "draw": self._rng.random()}
         try:
             await self._store.put(PROXIES_KIND, self._vm, spec, 0)
         except StoreConflict:
-            stored = await self._store.get(PROXIES_KIND, self._vm)
-            await self._store.put(PROXIES_KIND, self._vm, spec, stored.revision)
+            if self._renewals > 1:
+                stored = await self._store.get(PROXIES_KIND, self._vm)
+                await self._store.put(PROXIES_KIND, self._vm, spec, stored.revision)
--- a/src/rosemaryridge/core/_follower.py
+++ b/src/rosemaryridge/core/_follower.py
@@ -11,9 +11,11 @@
 
 # A watch that waits longer saves calls; TCP's own probes find a dead connection.
 _WATCH_WAIT_S = 25.0
-# How long changes are gathered after one; small beside the seconds that a change
-# has until it must be in force.
-_GATHER_S = 0.4
+# A follower that waits for another asks by itself after this.
+_OUTAGE_MAX_S = 5.0
+# How long changes are gathered after one; a third of the 3 s that the strictest
+# deployment gives a change until it must be in force.
+_GATHER_S = 1.0
 # How soon a failed call is repeated; what changed meanwhile must be in force within
 # seconds of the store's return.
 _RETRY_MIN_S = 0.1
@@ -30,6 +32,32 @@
         """Return the changes after a revision and the next revision."""
 
 
+class Outage:
+    """Let one of several followers ask a store that does not answer.
+
+    It answers an outage before many proxies: every call is priced, also those that
+    fail.
+    """
+
+    def __init__(self) -> None:
+        self._asking: object | None = None
+        self._over: asyncio.Future[None] | None = None
+
+    async def failed(self, follower: object) -> None:
+        """Return at once for the first to fail, for others when it has succeeded."""
+        if self._asking is None:
+            self._asking = follower
+            self._over = asyncio.get_running_loop().create_future()
+        if self._asking is not follower and self._over is not None:
+            await asyncio.wait([self._over], timeout=_OUTAGE_MAX_S)
+
+    def succeeded(self, follower: object) -> None:
+        """Take in that the store has answered."""
+        if self._asking is not None and self._over is not None:
+            self._asking = None
+            self._over.set_result(None)
+
+
 class Follower:
     """Hand over every object of a kind, then each change, through outages."""
 
@@ -41,7 +69,9 @@
         on_change: t.Callable[[t.Any], None],
         log: EventLog,
         rng: random.Random,
+        outage: Outage,
     ):
+        self._outage = outage
         self.reachable = False
         self.changed_at = asyncio.get_running_loop().time()
         self._store = store
@@ -86,6 +116,7 @@
             await asyncio.sleep(_GATHER_S)
 
     def _succeeded(self) -> None:
+        self._outage.succeeded(self)
         self._retry_s = _RETRY_MIN_S
         if not self.reachable:
             self._turn(True)
@@ -109,4 +140,5 @@
         if isinstance(exc, StoreLimited):
             delay_s = max(delay_s, exc.retry_after_s)
         self._retry_s = min(_RETRY_MAX_S, 2 * self._retry_s)
+        await self._outage.failed(self)
         await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.0))
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -15,6 +15,7 @@
 from rosemaryridge.core._metrics import Tally
 from rosemaryridge.core._runner import Runner
 from rosemaryridge.core._session import PreparedNames
+from rosemaryridge.core._session import Session
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
 from rosemaryridge.core._statement import Statement
@@ -23,6 +24,8 @@
 
 # A caller that opens a session gives up after 2 s without an answer.
 _OPEN_WAIT_S = 1.8
+# Steps of a statement that one log line shows, the newest.
+_TRAIL_SHOWN = 8
 # Proxies that a target's connections are divided among before more is known.
 _FIRST_PROXIES = 16
 # Connections of proxies that died without a word are dropped after 3 s; this part
@@ -95,24 +98,27 @@
         return route, self.directory.group(route.service)
 
     def record(
-        self, database: bytes, statement: Statement, answer: Answer, took_s: float
+        self, session: Session, statement: Statement, answer: Answer, took_s: float
     ) -> None:
         """Write what became of a statement where it is not plain."""
         outcome = answer.failure.value if answer.failure else "done"
         verb = statement.verb.value
         self.tally.inc("statements_total", verb=verb, outcome=outcome)
         self.tally.observe("statement_seconds", took_s, verb=verb)
-        route = self.config.current.routes.get(database)
+        route = self.config.current.routes.get(session.database)
         slow = route is not None and took_s > route.latency_target_s
         if answer.ok and not slow:
             return
         self.log.write(
             "statement",
             id=statement.id,
-            database=database,
+            database=session.database,
+            service=route.service if route else None,
             verb=verb,
             outcome=outcome if answer.failure else "slow",
             detail=answer.detail,
+            trail=session.trail[-_TRAIL_SHOWN:],
+            trail_length=len(session.trail),
             took_ms=round(took_s * 1000),
             config=self.config.current.version,
         )
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -42,6 +42,9 @@
 # A link whose answer nobody waits for any more is given up after this.
 _ABANDONED_S = 5.0
 
+# Shorter waits for a connection are not written to the log.
+_WAIT_SHOWN_S = 0.02
+
 # Failures after which another target, or the same one later, may do better.
 _REPEATABLE = NOT_RUN
 
@@ -87,7 +90,7 @@
         retry_s = _RETRY_MIN_S
         while True:
             target = await group.wait_for_lead(deadline)
-            link = await self.link(group, target, route, deadline)
+            link = await self.link(session, target, route, deadline)
             if link is None:
                 await self.pause(retry_s, deadline, "the primary cannot be reached")
                 retry_s = min(_RETRY_MAX_S, 2 * retry_s)
@@ -145,16 +148,18 @@
 
     async def link(
         self,
-        group: Group,
+        session: Session,
         target: Target,
         route: Route,
         deadline: float,
         pinned: bool = False,
     ) -> Link | None:
         """Return a connection to a target, None where it cannot be reached."""
+        asked_at = self._loop.time()
         try:
-            return await target.pool.acquire(route.priority, deadline, pinned)
-        except PoolClosed:
+            link = await target.pool.acquire(route.priority, deadline, pinned)
+        except PoolClosed as exc:
+            session.trail.append(f"{target.id} unreachable: {exc}")
             return None
         except TurnTooLate as exc:
             raise StatementError(
@@ -164,6 +169,10 @@
             raise StatementError(
                 Failure.BUSY, f"no connection to {target.id} came free", 0.2
             ) from None
+        waited_s = self._loop.time() - asked_at
+        if waited_s > _WAIT_SHOWN_S:
+            session.trail.append(f"waited {waited_s:.2f} s for {target.id}")
+        return link
 
     async def exchange(
         self,
@@ -193,6 +202,8 @@
         now = self._loop.time()
         target.heard(now)
         outcome = answer.failure.value if answer.failure else "done"
+        took_ms = round(1000 * (now - started))
+        session.trail.append(f"{target.id} {outcome} after {took_ms} ms")
         self._tally.inc("target_answers_total", service=group.service, outcome=outcome)
         if answer.failure is Failure.BUSY:
             target.full(now)
@@ -261,7 +272,7 @@
         retry_s = _RETRY_MIN_S
         while True:
             target = await group.wait_for_lead(deadline)
-            link = await self.link(group, target, route, deadline)
+            link = await self.link(session, target, route, deadline)
             reason, failure = "the primary cannot be reached", Failure.BUSY
             if link is not None:
                 answer = await self._guarded(
@@ -429,7 +440,7 @@
         deadline: float,
     ) -> Answer | None:
         try:
-            link = await self.link(group, target, route, deadline)
+            link = await self.link(session, target, route, deadline)
         except StatementError as exc:
             return Answer(failure=exc.failure, detail=exc.detail)
         if link is None:
@@ -481,6 +492,7 @@
         floor = await group.floor(route.max_age_s, deadline)
         if route.consistency is Consistency.SESSION:
             floor = needed_position(session, floor, boottime())
+        session.trail.append(f"needs {floor[0]} of {floor[1]:.2f} s ago")
         return ReadNeed(*floor)
 
 
--- a/src/rosemaryridge/core/_session.py
+++ b/src/rosemaryridge/core/_session.py
@@ -45,6 +45,8 @@
         self.database = database
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[bytes, Statement] = {}
+        # What the statement that is served met, for the log.
+        self.trail: list[str] = []
         # Where the log was after the session's newest acknowledged commit.
         self.written: Position = ORIGIN
         # When that commit was acknowledged, on the clock of `boottime`.
