--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -208,7 +208,7 @@
                 self._isolate(isolated, leaderless_s, silent_s)
 
     def _isolate(self, isolated: bool, leaderless_s: float, silent_s: float) -> None:
-        self._isolated = isolated
+        self._isolated = self._callers.isolated = isolated
         self._isolated_at = asyncio.get_running_loop().time()
         if not isolated:
             self._proxy.directory.set_cut_off(False)
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -152,7 +152,7 @@
 
     def _add(self, group: Group, info: TargetInfo) -> Target:
         def opened() -> None:
-            target.heard(self._loop.time())
+            target.refused_at = None
 
         def failed(exc: ConnectFailed) -> None:
             self._connect_failed(group, target, exc)
@@ -185,7 +185,7 @@
         if exc.full:
             target.heard(now)
         elif exc.refused or exc.wrong:
-            target.refused(now)
+            group.refused(target)
         else:
             group.silent(target)
         self._log.write(
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -27,6 +27,9 @@
 _SEARCH_PERIOD_S = 0.08
 # A target that has gone silent is asked this often whether it is back.
 _SILENT_PERIOD_S = 0.4
+# A target is asked when a statement has waited 150 ms; one that answered nothing
+# from then until the question ran out is silent.
+_UNHEARD_S = 0.15
 # A target that refused a connection this recently is full, not silent.
 _FULL_RECENT_S = 1.0
 # How much older a position may look than it is: the clocks' grain and a timer.
@@ -115,6 +118,11 @@
             self._watch_over(self._ask_until_heard(target))
         self.suspect(target)
 
+    def refused(self, target: Target) -> None:
+        """Take in that nothing listens at a target's address."""
+        target.refused_at = self._loop.time()
+        self.silent(target)
+
     async def _ask_until_heard(self, target: Target) -> None:
         while self.targets.get(target.id) is target and target.silent_since is not None:
             await asyncio.sleep(_SILENT_PERIOD_S)
@@ -213,7 +221,9 @@
             return None
         except TimeoutError:
             full_s = self._loop.time() - target.pool.full_at
-            if target.pool.lent == 0 and full_s > _FULL_RECENT_S:
+            # Every connection may be in use by statements that are not answered.
+            unheard = target.heard_at < deadline - PING_TIMEOUT_S - _UNHEARD_S
+            if full_s > _FULL_RECENT_S and (target.pool.lent == 0 or unheard):
                 self.silent(target)
             return None
         return await self._ping(target, link, deadline)
--- a/src/rosemaryridge/core/_target.py
+++ b/src/rosemaryridge/core/_target.py
@@ -59,11 +59,6 @@
         if self.silent_since is None:
             self.silent_since = now
 
-    def refused(self, now: float) -> None:
-        """Take in that nothing listens at the target's address."""
-        self.refused_at = now
-        self.silent(now)
-
     def answered(self, latency_s: float, now: float) -> None:
         """Take in how long a statement took."""
         weight = max(_LATENCY_WEIGHT, min(1.0, (now - self.sampled_at) / _FORGET_S))
--- a/src/rosemaryridge/platform/callers.py
+++ b/src/rosemaryridge/platform/callers.py
@@ -39,6 +39,7 @@
         # When the session last was between two operations, in loop time.
         self._rests_since = asyncio.get_running_loop().time()
         self._between = False
+        self._refused = False
 
     def can_leave(self, now: float) -> bool:
         """Return whether no operation would be cut in two.
@@ -118,7 +119,7 @@
             self._work = None
             if self._transport is None and self._caller is not None:
                 self._caller.leave()
-        self._server.served(self)
+        self._server.served(self, self._refused)
 
     async def _answer(self, line: bytes) -> bytes:
         try:
@@ -140,6 +141,7 @@
             return wire.encode_answer(self._caller.malformed(str(exc)))
         answer = await self._caller.serve(statement)
         self._rest(between=statement.verb not in _PREPARING)
+        self._refused = answer.failure is Failure.BUSY
         return wire.encode_answer(answer)
 
     def _answer_crossed(self) -> bytes:
@@ -192,6 +194,8 @@
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._draining = False
+        # Whether other proxies can serve what this one refuses.
+        self.isolated = False
 
     async def start(self, endpoint: Endpoint) -> None:
         """Listen on an address."""
@@ -218,10 +222,14 @@
             if connection.can_leave(now):
                 connection.leave()
 
-    def served(self, connection: CallerConnection) -> None:
-        """Take in that a connection has answered all it was asked."""
+    def served(self, connection: CallerConnection, refused: bool) -> None:
+        """Take in that a connection has answered all it was asked.
+
+        A caller repeats a refused operation on the same session unless that ends.
+        """
         now = asyncio.get_running_loop().time()
-        if self._draining and connection.can_leave(now):
+        leaves = self._draining or refused and self.isolated
+        if leaves and connection.can_leave(now):
             connection.leave()
 
     def stop_listening(self) -> None:
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -346,6 +346,22 @@
         self.assertEqual((await client.ask("WRITE k d")).code, "")
 
 
+class IsolationTest(SiteCase):
+    async def test_a_refused_caller_is_led_elsewhere_while_the_proxy_is_cut_off(self):
+        client = await self.client("books-orders")
+        await client.ask("READ k")
+        self.site.store.fault = "silent"
+        self.site.store.cut_watches()
+        for number in range(3):
+            self.target(number).fault = "mute"
+        self.assertEqual((await client.ask("WRITE k d")).code, "INDOUBT")
+        await until(lambda: '"event": "isolated"' in self.events())
+        status, _ = self.entries[0]._readiness()
+        self.assertEqual(status, 503)
+        self.assertEqual((await client.ask("WRITE k d")).code, "BUSY")
+        self.assertIn("ERROR BUSY", await client.line())
+
+
 class StoreTest(SiteCase):
     async def test_a_lost_history_is_listed_anew(self):
         self.site.store.compact()
--- a/tests/test_core_decisions.py
+++ b/tests/test_core_decisions.py
@@ -131,7 +131,7 @@
         self.assertIs(reason_to_replace(group, 1.0), Reason.SILENT)
         lead.leaving = True
         self.assertIs(reason_to_replace(group, 1.0), Reason.LEAVING)
-        lead.refused(1.0)
+        lead.refused_at = 1.0
         self.assertIs(reason_to_replace(group, 1.0), Reason.REFUSED)
         lead.heard(2.0)
         lead.leaving = False
