--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -155,7 +155,7 @@
         It answers the load of a failover: statements queue while another primary
         may be expected, and are refused at once where this proxy is cut off.
         """
-        while (lead := self.lead) is None or lead.refused_at is not None:
+        while (lead := self._usable_lead()) is None:
             self._start_search()
             if self._found is None or self._found.done():
                 self._found = self._loop.create_future()
@@ -191,10 +191,7 @@
 
     async def _find(self) -> None:
         self._on_trouble(self)
-        while True:
-            lead = self.lead
-            if lead is not None and lead.refused_at is None:
-                return
+        while self._usable_lead() is None:
             usable = list(self.targets.values())
             if usable:
                 await asyncio.wait(
@@ -202,6 +199,17 @@
                     timeout=_SEARCH_PERIOD_S,
                 )
             await asyncio.sleep(_SEARCH_PERIOD_S)
+        self._wake()
+
+    def _usable_lead(self) -> Target | None:
+        """Return the primary unless it is known not to answer.
+
+        A write that is sent to a silent primary would end in doubt.
+        """
+        lead = self.lead
+        if lead is None or lead.refused_at is not None:
+            return None
+        return lead if lead.silent_since is None else None
 
     def _watch_over(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> asyncio.Task:
         task = self._loop.create_task(work)
