--- a/examples/local/up.sh
+++ b/examples/local/up.sh
@@ -8,6 +8,7 @@
 trap 'exit 0' INT TERM
 $standin platform --port 7400 &
 $standin target --name t1 --port 7401 --admin-port 7411 &
+echo $! > t1.pid
 sleep 2
 $standin target --name t2 --port 7402 --admin-port 7412 --follow 127.0.0.1:7401 &
 $standin target --name t3 --port 7403 --admin-port 7413 --follow 127.0.0.1:7401 &
--- a/src/rosemaryridge/cli/ctl.py
+++ b/src/rosemaryridge/cli/ctl.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import functools
+import json
 import typing as t
 
 import click
@@ -16,6 +17,7 @@
 from rosemaryridge.cli._common import version_option
 from rosemaryridge.cli._fleet_view import FleetView
 from rosemaryridge.cli._fleet_view import collect_fleet
+from rosemaryridge.cli._log_view import explain
 from rosemaryridge.cli._reference import reference
 
 Show = t.Callable[[], t.Awaitable[str]]
@@ -134,6 +136,19 @@
     click.echo(f"{vm} drains; it ends within {answer['deadline_s']:g} s.")
 
 
+@main.command()
+@click.argument("file", type=click.File(errors="replace"))
+@click.option("--id", "request", required=True, help="The request's id.")
+def logs(file: t.TextIO, request: str) -> None:
+    """Explain a request from a FILE of log lines of the entry program."""
+    try:
+        lines = explain(file, request)
+    except KeyError:
+        raise click.ClickException(f"no line of {file.name} names {request}") from None
+    for line in lines:
+        click.echo(json.dumps(line))
+
+
 async def _show(show: Show, period_s: float | None) -> None:
     click.echo(await show())
     while period_s:
--- /dev/null
+++ b/tests/test_log_view.py
@@ -0,0 +1,50 @@
+"""Read causes from log lines of real runs alone."""
+
+import json
+import unittest
+
+from rosemaryridge.cli._log_view import explain
+
+
+def line(at, event, vm="vm-1", **fields):
+    return json.dumps({"at": at, "vm": vm, "event": event, **fields})
+
+
+class ExplainTest(unittest.TestCase):
+    def events(self, lines, request):
+        return [one["event"] for one in explain(lines, request)]
+
+    def test_a_write_in_doubt_at_a_promotion(self):
+        lines = [
+            line(1.0, "target_silent", service="books", target="i-1"),
+            line(6.4, "target_silent", service="books", target="i-1"),
+            line(6.5, "promotion_ordered", service="books", reason="silent"),
+            line(6.6, "promotion_ordered", service="shelves", reason="silent"),
+            line(6.6, "primary_found", vm="vm-2", service="books"),
+            line(7.0, "statement", service="books", id="a1", outcome="unknown outcome"),
+            line(7.5, "primary_found", service="books"),
+        ]
+        expected = ["target_silent", "promotion_ordered", "statement"]
+        self.assertEqual(self.events(lines, "a1"), expected)
+
+    def test_a_refusal_in_a_burst(self):
+        lines = [
+            line(4.0, "write_refused", service="books", id="b2", reason="busy"),
+            line(4.1, "write_refused", service="books", id="b1", reason="busy"),
+            line(4.5, "statement", service="books", id="b1", outcome="busy"),
+        ]
+        self.assertEqual(self.events(lines, "b1"), ["write_refused", "statement"])
+
+    def test_a_slow_read_tells_its_trail(self):
+        trail = ["needs 1/121 of 1.39 s ago", "i-2 lagging after 1 ms"]
+        lines = ["noise", line(9.0, "statement", service="books", id="c1", trail=trail)]
+        (found,) = explain(lines, "c1")
+        self.assertEqual(found["trail"], trail)
+
+    def test_lines_with_a_prefix_and_broken_lines_are_taken_as_they_are(self):
+        lines = ["{broken", " 3.1 vm-1 " + line(3.1, "statement", id="d1")]
+        self.assertEqual(self.events(lines, "d1"), ["statement"])
+
+    def test_a_request_that_was_not_logged_is_told(self):
+        with self.assertRaises(KeyError):
+            explain([line(1.0, "started")], "e1")
