--- a/src/rosemaryridge/cli/_log_view.py
+++ b/src/rosemaryridge/cli/_log_view.py
@@ -9,7 +9,7 @@
 Line = dict[str, t.Any]
 
 
-def explain(lines: t.Iterable[str], request: str) -> list[Line]:
+def explain_request(lines: t.Iterable[str], request: str) -> list[Line]:
     """Return a request's lines and what its proxy came to believe before them.
 
     Only lines of the same service are shown, and those of no service. Lines that
--- a/src/rosemaryridge/cli/ctl.py
+++ b/src/rosemaryridge/cli/ctl.py
@@ -17,7 +17,7 @@
 from rosemaryridge.cli._common import version_option
 from rosemaryridge.cli._fleet_view import FleetView
 from rosemaryridge.cli._fleet_view import collect_fleet
-from rosemaryridge.cli._log_view import explain
+from rosemaryridge.cli._log_view import explain_request
 from rosemaryridge.cli._reference import reference
 
 Show = t.Callable[[], t.Awaitable[str]]
@@ -142,7 +142,7 @@
 def logs(file: t.TextIO, request: str) -> None:
     """Explain a request from a FILE of log lines of the entry program."""
     try:
-        lines = explain(file, request)
+        lines = explain_request(file, request)
     except KeyError:
         raise click.ClickException(f"no line of {file.name} names {request}") from None
     for line in lines:
--- a/tests/test_log_view.py
+++ b/tests/test_log_view.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from rosemaryridge.cli._log_view import explain
+from rosemaryridge.cli._log_view import explain_request
 
 
 def line(at, event, vm="vm-1", **fields):
@@ -12,7 +12,7 @@
 
 class ExplainTest(unittest.TestCase):
     def events(self, lines, request):
-        return [one["event"] for one in explain(lines, request)]
+        return [one["event"] for one in explain_request(lines, request)]
 
     def test_a_write_in_doubt_at_a_promotion(self):
         lines = [
@@ -38,7 +38,7 @@
     def test_a_slow_read_tells_its_trail(self):
         trail = ["needs 1/121 of 1.39 s ago", "i-2 lagging after 1 ms"]
         lines = ["noise", line(9.0, "statement", service="books", id="c1", trail=trail)]
-        (found,) = explain(lines, "c1")
+        (found,) = explain_request(lines, "c1")
         self.assertEqual(found["trail"], trail)
 
     def test_lines_with_a_prefix_and_broken_lines_are_taken_as_they_are(self):
@@ -47,4 +47,4 @@
 
     def test_a_request_that_was_not_logged_is_told(self):
         with self.assertRaises(KeyError):
-            explain([line(1.0, "started")], "e1")
+            explain_request([line(1.0, "started")], "e1")
