--- a/src/rosemaryridge/core/_caller.py
+++ b/src/rosemaryridge/core/_caller.py
@@ -93,6 +93,7 @@
         route, group = self._route()
         self._transaction = Transaction(
             self._proxy.runner,
+            self._proxy.reader,
             self._session,
             route,
             group,
@@ -121,10 +122,9 @@
             self._session.is_read(statement)
             return await self._transaction.run(statement)
         route, group = self._route()
-        runner = self._proxy.runner
         if self._session.is_read(statement):
-            return await runner.read(self._session, route, group, statement)
-        return await runner.write(self._session, route, group, statement)
+            return await self._proxy.reader.read(self._session, route, group, statement)
+        return await self._proxy.runner.write(self._session, route, group, statement)
 
     @_handles(Verb.SET)
     async def _set(self, statement: Statement) -> Answer:
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -13,6 +13,7 @@
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._metrics import Labels
 from rosemaryridge.core._metrics import Tally
+from rosemaryridge.core._reader import Reader
 from rosemaryridge.core._runner import Runner
 from rosemaryridge.core._session import PreparedNames
 from rosemaryridge.core._session import Session
@@ -52,7 +53,8 @@
         self.directory = Directory(
             connect, log, on_trouble, self._share, lambda: self.proxies, rng
         )
-        self.runner = Runner(failure_domain, rng, PreparedNames(), log, self.tally)
+        self.runner = Runner(rng, PreparedNames(), log, self.tally)
+        self.reader = Reader(self.runner, failure_domain, rng)
         self._ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     @property
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -1,21 +1,17 @@
-"""Run single statements on targets, again elsewhere only where that is safe."""
+"""Run statements on targets, again only where that is safe."""
 
 import asyncio
 import random
 
 from rosemaryridge.core._boottime import boottime
-from rosemaryridge.core._config import Consistency
 from rosemaryridge.core._config import Route
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._metrics import Tally
-from rosemaryridge.core._placement import ReadNeed
-from rosemaryridge.core._placement import choose_for_read
 from rosemaryridge.core._pool import PoolClosed
 from rosemaryridge.core._pool import TurnTooLate
 from rosemaryridge.core._session import PreparedNames
 from rosemaryridge.core._session import Session
-from rosemaryridge.core._session import needed_position
 from rosemaryridge.core._statement import NOT_RUN
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
@@ -28,39 +24,29 @@
 from rosemaryridge.core.commands import Link
 from rosemaryridge.core.commands import Rollback
 from rosemaryridge.core.commands import Run
-from rosemaryridge.model import ORIGIN
 from rosemaryridge.model import Position
 
 # A full or lagging target is asked again after this, doubled each time.
-_RETRY_MIN_S = 0.03
-_RETRY_MAX_S = 0.24
-# A read that has waited this long is sent to another target as well; the work of
-# most reads ends within 300 ms.
-_SECOND_TRY_S = 0.4
+RETRY_MIN_S = 0.03
+RETRY_MAX_S = 0.24
 # A target that owes an answer for this long is asked whether it lives.
 _CHECK_AFTER_S = 0.15
 # A link whose answer nobody waits for any more is given up after this.
-_ABANDONED_S = 5.0
-
+ABANDONED_S = 5.0
 # Shorter waits for a connection are not written to the log.
 _WAIT_SHOWN_S = 0.02
 
-# Failures after which another target, or the same one later, may do better.
-_REPEATABLE = NOT_RUN
-
 
 class Runner:
     """Carry statements to the targets of their group."""
 
     def __init__(
         self,
-        failure_domain: str,
         rng: random.Random,
         names: PreparedNames,
         log: EventLog,
         tally: Tally,
     ):
-        self._failure_domain = failure_domain
         self._rng = rng
         self._names = names
         self._log = log
@@ -68,17 +54,6 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def read(
-        self, session: Session, route: Route, group: Group, statement: Statement
-    ) -> Answer:
-        """Return a read's answer; raise StatementError."""
-        deadline = self._loop.time() + route.timeout_s
-        if route.consistency is Consistency.PRIMARY:
-            return await self._read_on_primary(
-                session, route, group, statement, deadline
-            )
-        return await self._read_anywhere(session, route, group, statement, deadline)
-
     async def write(
         self, session: Session, route: Route, group: Group, statement: Statement
     ) -> Answer:
@@ -87,18 +62,18 @@
         The write is sent again only after an answer that says it has not run.
         """
         deadline = self._loop.time() + route.timeout_s
-        retry_s = _RETRY_MIN_S
+        retry_s = RETRY_MIN_S
         while True:
             target = await group.wait_for_lead(deadline)
             link = await self.link(session, target, route, deadline)
             if link is None:
                 await self.pause(retry_s, deadline, "the primary cannot be reached")
-                retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+                retry_s = min(RETRY_MAX_S, 2 * retry_s)
                 continue
             answer = await self._write_once(
                 session, group, target, link, statement, deadline
             )
-            if answer.failure not in _REPEATABLE:
+            if answer.failure not in NOT_RUN:
                 return answer
             self._log.write(
                 "write_refused",
@@ -111,7 +86,7 @@
                 # The target's pool waits before the next statement.
                 continue
             await self.pause(retry_s, deadline, answer.detail, answer.failure)
-            retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+            retry_s = min(RETRY_MAX_S, 2 * retry_s)
 
     async def _write_once(
         self,
@@ -261,63 +236,6 @@
             raise StatementError(failure, reason, 0.2)
         await asyncio.sleep(delay_s)
 
-    async def _read_on_primary(
-        self,
-        session: Session,
-        route: Route,
-        group: Group,
-        statement: Statement,
-        deadline: float,
-    ) -> Answer:
-        retry_s = _RETRY_MIN_S
-        while True:
-            target = await group.wait_for_lead(deadline)
-            link = await self.link(session, target, route, deadline)
-            reason, failure = "the primary cannot be reached", Failure.BUSY
-            if link is not None:
-                answer = await self._guarded(
-                    session, group, target, link, statement, deadline
-                )
-                if answer is not None and answer.failure not in _REPEATABLE:
-                    return answer
-                if answer is not None:
-                    reason, failure = answer.detail, answer.failure
-            await self.pause(retry_s, deadline, reason, failure)
-            retry_s = min(_RETRY_MAX_S, 2 * retry_s)
-
-    async def _guarded(
-        self,
-        session: Session,
-        group: Group,
-        target: Target,
-        link: Link,
-        statement: Statement,
-        deadline: float,
-    ) -> Answer | None:
-        # A deposed primary answers a plain read from its old log; in a transaction
-        # it refuses.
-        try:
-            answer = await self.begin(group, target, link, deadline)
-            if not answer.ok:
-                self.settle(group, target, link, answer)
-                return answer
-            answer = await self.exchange(
-                session, group, target, link, statement, deadline
-            )
-        except TargetLost:
-            target.pool.discard(link)
-            group.suspect(target)
-            return None
-        except TimeoutError:
-            target.pool.discard(link)
-            raise StatementError(
-                Failure.TIMEOUT, f"{target.id} gave no answer in time"
-            ) from None
-        if answer.failure is Failure.READ_ONLY:
-            group.deposed(target)
-        self.spawn(self.roll_back(target, link))
-        return _idle(answer)
-
     async def begin(
         self,
         group: Group,
@@ -345,7 +263,7 @@
         """End a transaction and give the connection back."""
         (fut,) = link.send(Rollback())
         try:
-            async with asyncio.timeout(_ABANDONED_S):
+            async with asyncio.timeout(ABANDONED_S):
                 answer = await fut
         except (TargetLost, TimeoutError):
             target.pool.discard(link, pinned)
@@ -354,165 +272,3 @@
             target.pool.release(link, pinned)
         else:
             target.pool.discard(link, pinned)
-
-    async def _read_anywhere(
-        self,
-        session: Session,
-        route: Route,
-        group: Group,
-        statement: Statement,
-        deadline: float,
-    ) -> Answer:
-        race = _Race()
-        try:
-            return await self._race(race, session, route, group, statement, deadline)
-        finally:
-            race.over = True
-
-    async def _race(
-        self,
-        race: "_Race",
-        session: Session,
-        route: Route,
-        group: Group,
-        statement: Statement,
-        deadline: float,
-    ) -> Answer:
-        tried: set[str] = set()
-        retry_s = _RETRY_MIN_S
-        running: set[asyncio.Task[Answer | None]] = set()
-        last = (Failure.BUSY, "no target could be reached")
-        while True:
-            need = await self.need(session, route, group, deadline)
-            target = self.choose(group, need, tried)
-            if target is None and not running:
-                if last[0] is Failure.LAGGING:
-                    # What the session wrote may have been rolled back by a
-                    # promotion; the primary has all that was kept.
-                    return await self._read_on_primary(
-                        session, route, group, statement, deadline
-                    )
-                tried.clear()
-                await self.pause(retry_s, deadline, last[1], last[0])
-                retry_s = min(_RETRY_MAX_S, 2 * retry_s)
-                continue
-            if target is not None:
-                tried.add(target.id)
-                running.add(
-                    self.spawn(
-                        self._try_read(
-                            race,
-                            session,
-                            route,
-                            group,
-                            target,
-                            need,
-                            statement,
-                            deadline,
-                        )
-                    )
-                )
-            left_s = deadline - self._loop.time()
-            wait_s = left_s if target is None else min(left_s, _SECOND_TRY_S)
-            done, running = await asyncio.wait(
-                running, timeout=max(0.0, wait_s), return_when="FIRST_COMPLETED"
-            )
-            for task in done:
-                answer = task.result()
-                if answer is not None and answer.failure not in _REPEATABLE:
-                    return answer
-                if answer is not None:
-                    last = (answer.failure, answer.detail)
-            if self._loop.time() >= deadline:
-                if race.sent and running:
-                    raise StatementError(Failure.TIMEOUT, "no target answered in time")
-                raise StatementError(last[0], last[1], 0.2)
-
-    async def _try_read(
-        self,
-        race: "_Race",
-        session: Session,
-        route: Route,
-        group: Group,
-        target: Target,
-        need: ReadNeed,
-        statement: Statement,
-        deadline: float,
-    ) -> Answer | None:
-        try:
-            link = await self.link(session, target, route, deadline)
-        except StatementError as exc:
-            return Answer(failure=exc.failure, detail=exc.detail)
-        if link is None:
-            return None
-        if race.over:
-            # The caller has its answer and may have changed its session since.
-            target.pool.release(link)
-            return None
-        race.sent = True
-        patience = max(deadline, self._loop.time() + _ABANDONED_S)
-        try:
-            answer = await self.exchange(
-                session, group, target, link, statement, patience, need.position
-            )
-        except (TargetLost, TimeoutError):
-            target.pool.discard(link)
-            group.suspect(target)
-            return None
-        self.learn(target, need, answer)
-        if answer.state is TransactionState.IDLE:
-            target.pool.release(link)
-        else:
-            target.pool.discard(link)
-        return answer
-
-    def learn(self, target: Target, need: ReadNeed, answer: Answer) -> None:
-        """Take in whether a target's log held what a read needs."""
-        if answer.failure is Failure.LAGGING:
-            target.lacked(need.age_s, self._loop.time())
-        elif answer.ok:
-            target.held(need.age_s, max(need.position, answer.position or ORIGIN))
-
-    def choose(self, group: Group, need: ReadNeed, tried: set[str]) -> Target | None:
-        """Return the target that should answer a read."""
-        return choose_for_read(
-            tuple(group.targets.values()),
-            group.primary,
-            need,
-            self._failure_domain,
-            tried,
-            self._loop.time(),
-            self._rng,
-        )
-
-    async def need(
-        self, session: Session, route: Route, group: Group, deadline: float
-    ) -> ReadNeed:
-        """Return what a read's target must hold; raise StatementError."""
-        floor = await group.floor(route.max_age_s, deadline)
-        if route.consistency is Consistency.SESSION:
-            floor = needed_position(session, floor, boottime())
-        session.trail.append(f"needs {floor[0]} of {floor[1]:.2f} s ago")
-        return ReadNeed(*floor)
-
-
-class _Race:
-    """Note whether a read was sent to any target, and whether it has ended."""
-
-    __slots__ = ("over", "sent")
-
-    def __init__(self) -> None:
-        self.over = False
-        self.sent = False
-
-
-def _idle(answer: Answer) -> Answer:
-    """Return an answer as a caller outside a transaction sees it."""
-    return Answer(
-        answer.rows,
-        answer.signature,
-        answer.failure,
-        answer.detail,
-        TransactionState.IDLE,
-        answer.position,
-    )
--- a/src/rosemaryridge/core/_target.py
+++ b/src/rosemaryridge/core/_target.py
@@ -1,6 +1,5 @@
 """Judge one target by what its answers showed."""
 
-import asyncio
 import dataclasses
 
 from rosemaryridge.core._pool import Pool
@@ -91,8 +90,3 @@
         latency_s = kept * self.latency_s + (1.0 - kept) * _FIRST_LATENCY_S
         lanes = max(1, self.pool.limit)
         return latency_s * (1.0 + self.outstanding / lanes)
-
-
-def loop_now() -> float:
-    """Return the running loop's time."""
-    return asyncio.get_running_loop().time()
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -6,6 +6,9 @@
 from rosemaryridge.core._config import Consistency
 from rosemaryridge.core._config import Route
 from rosemaryridge.core._group import Group
+from rosemaryridge.core._reader import Reader
+from rosemaryridge.core._runner import RETRY_MAX_S
+from rosemaryridge.core._runner import RETRY_MIN_S
 from rosemaryridge.core._runner import Runner
 from rosemaryridge.core._session import Session
 from rosemaryridge.core._statement import NOT_RUN
@@ -18,9 +21,6 @@
 from rosemaryridge.core._target import Target
 from rosemaryridge.core.commands import Link
 
-_RETRY_MIN_S = 0.03
-_RETRY_MAX_S = 0.24
-
 
 class Transaction:
     """Run a transaction's statements; its connection is opened ahead.
@@ -32,6 +32,7 @@
     def __init__(
         self,
         runner: Runner,
+        reader: Reader,
         session: Session,
         route: Route,
         group: Group,
@@ -42,6 +43,7 @@
         self.failed = False
         self._ended = False
         self._runner = runner
+        self._reader = reader
         self._session = session
         self._route = route
         self._group = group
@@ -76,7 +78,7 @@
 
     async def _run(self, statement: Statement, deadline: float) -> Answer:
         target, link = await self._opened(deadline)
-        retry_s = _RETRY_MIN_S
+        retry_s = RETRY_MIN_S
         while True:
             answer = await self._exchange(target, link, statement, deadline)
             if answer.failure is Failure.READ_ONLY:
@@ -87,7 +89,7 @@
             if answer.failure is Failure.UNKNOWN_STATEMENT:
                 link.prepared.clear()
             await self._runner.pause(retry_s, deadline, answer.detail)
-            retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+            retry_s = min(RETRY_MAX_S, 2 * retry_s)
 
     async def _exchange(
         self, target: Target, link: Link, statement: Statement, deadline: float
@@ -119,7 +121,7 @@
 
     async def _commit(self, statement: Statement, deadline: float) -> Answer:
         target, link = await self._opened(deadline)
-        retry_s = _RETRY_MIN_S
+        retry_s = RETRY_MIN_S
         while True:
             sent_at = boottime()
             answer = await self._send_commit(target, link, statement, deadline)
@@ -128,7 +130,7 @@
             ):
                 break
             await self._runner.pause(retry_s, deadline, answer.detail)
-            retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+            retry_s = min(RETRY_MAX_S, 2 * retry_s)
         self._take_result(answer, target, sent_at)
         self._target = self._link = None
         self._runner.settle(self._group, target, link, answer, pinned=True)
@@ -196,7 +198,7 @@
     async def _open(self) -> None:
         deadline = self._loop.time() + self._route.timeout_s
         tried: set[str] = set()
-        retry_s = _RETRY_MIN_S
+        retry_s = RETRY_MIN_S
         while not self._ended:
             answer = await self._open_once(tried, deadline)
             if answer is not None and answer.ok:
@@ -206,15 +208,15 @@
             if not self._anywhere or len(tried) >= len(self._group.targets):
                 tried.clear()
                 await self._runner.pause(retry_s, deadline, reason, failure)
-                retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+                retry_s = min(RETRY_MAX_S, 2 * retry_s)
 
     async def _open_once(self, tried: set[str], deadline: float) -> Answer | None:
         need = None
         if self._anywhere:
-            need = await self._runner.need(
+            need = await self._reader.need(
                 self._session, self._route, self._group, deadline
             )
-            target = self._runner.choose(self._group, need, tried)
+            target = self._reader.choose(self._group, need, tried)
             if target is None:
                 return Answer(failure=Failure.BUSY, detail="no target can be used")
             tried.add(target.id)
@@ -239,7 +241,7 @@
             self._group.suspect(target)
             return None
         if need is not None:
-            self._runner.learn(target, need, answer)
+            self._reader.learn(target, need, answer)
         if answer.ok:
             self._target, self._link = target, link
         else:
--- a/src/rosemaryridge/core/commands.py
+++ b/src/rosemaryridge/core/commands.py
@@ -57,14 +57,7 @@
     """Forget session values and prepared statements."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StepDown:
-    """Turn a primary of a lower term into a replica."""
-
-    term: int
-
-
-Command = Run | Begin | Rollback | SetValue | Prepare | Reset | StepDown
+Command = Run | Begin | Rollback | SetValue | Prepare | Reset
 
 
 class Link(t.Protocol):
--- a/src/rosemaryridge/platform/settings.py
+++ b/src/rosemaryridge/platform/settings.py
@@ -18,21 +18,13 @@
 
     vm: str
     failure_domain: str
-    region: str
-    regions: t.Mapping[str, str]
     callers: Endpoint
     readiness: Endpoint
     store: Endpoint
     promotions: Endpoint
     peer_ports: tuple[int, int]
-    memory_bytes: int
-    descriptors: int
     # The longest time between SIGTERM and SIGKILL, in seconds.
     grace_s: float
-    # The longest time from a target's notice of leaving to its last request.
-    target_drain_s: float
-    heartbeat_s: float
-    promotions_per_s: float
 
 
 def settings_path() -> str:
@@ -56,23 +48,15 @@
 
 def _decode(data: dict[str, t.Any]) -> VmSettings:
     bounds = data.get("bounds", {})
-    limits = data["limits"]
     listen = data["bind_addrs"]
     first, last = data.get("internal_port_range", (0, 0))
     return VmSettings(
         vm=data["node_name"],
         failure_domain=data["zone"],
-        region=data["region"],
-        regions=dict(data.get("zones", {})),
         callers=Endpoint.parse(listen["front"]),
         readiness=Endpoint.parse(listen["ready"]),
         store=Endpoint.parse(data["platform"]["address"]),
         promotions=Endpoint.parse(data["cloud_api"]["address"]),
         peer_ports=(int(first), int(last)),
-        memory_bytes=int(limits["memory_mb"] * 1_000_000),
-        descriptors=int(limits["max_fds"]),
         grace_s=float(bounds.get("grace_s", 6.0)),
-        target_drain_s=float(bounds.get("drain_ms", 7000)) / 1000.0,
-        heartbeat_s=float(data.get("heartbeat_ms", 1200)) / 1000.0,
-        promotions_per_s=float(data["cloud_api"].get("duty_per_s", 50.0)),
     )
--- a/src/rosemaryridge/platform/target.py
+++ b/src/rosemaryridge/platform/target.py
@@ -47,9 +47,6 @@
     ),
     commands.Prepare: _prepare,
     commands.Reset: lambda command: wire.encode_query(wire.RESET),
-    commands.StepDown: lambda command: wire.encode_query(
-        wire.step_down_text(command.term)
-    ),
 }
 
 
--- a/src/rosemaryridge/platform/wire.py
+++ b/src/rosemaryridge/platform/wire.py
@@ -299,21 +299,6 @@
 STATUS = b"STATUS"
 
 
-def pause_text(term: int) -> bytes:
-    """Return the text that stops a replica from receiving older terms."""
-    return b"PAUSE %d" % term
-
-
-def resume_text() -> bytes:
-    """Return the text that lets a replica receive again."""
-    return b"RESUME"
-
-
-def step_down_text(term: int) -> bytes:
-    """Return the text that makes a primary of a lower term a replica."""
-    return b"STEPDOWN %d" % term
-
-
 def decode_condition(answer: Answer) -> TargetCondition | None:
     """Return a target's condition; None where it told none."""
     if not answer.ok or not answer.rows:
