Bound what a caller may make the proxy hold

Lines are searched from where the last search ended, waiting bytes are bounded, callers beyond the descriptors are refused. The test of single bytes fails on the former code.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -80,7 +80,7 @@
         )
         self._proxy.directory.ask_home = self._peers.ask
         self._census = Census(cfg.vm, self._store, self._listed, self._log, rng)
-        self._callers = CallerServer(self._proxy)
+        self._callers = CallerServer(self._proxy, cfg.descriptors)
         self._pages = HttpServer(
             {
                 READINESS_PATH: self._readiness,
--- a/src/rosemaryridge/platform/callers.py
+++ b/src/rosemaryridge/platform/callers.py
@@ -16,6 +16,10 @@
 
 # Messages that one caller may have waiting before its connection is not read.
 _MAX_WAITING = 64
+_MAX_WAITING_BYTES = 262_144
+# Descriptors that are not for callers: files, which the platform counts as 200, the
+# store, targets and probes.
+_OTHER_DESCRIPTORS = 300
 # Every caller of a VM may come back at once after a restart.
 _BACKLOG = 1024
 # A caller that has set or prepared something follows within a round trip.
@@ -58,6 +62,9 @@
         self._transport = t.cast(asyncio.Transport, transport)
         keep_alive(transport)
         self._server.connections.add(self)
+        if len(self._server.connections) > self._server.limit:
+            self._write(wire.encode_failure(Failure.BUSY, "too many callers"))
+            self._close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End what the connection was doing."""
@@ -75,7 +82,7 @@
         except wire.MessageTooLarge as exc:
             self._write(wire.encode_failure(Failure.TOO_LARGE, str(exc)))
             return self._close()
-        if len(self._waiting) > _MAX_WAITING and self._transport is not None:
+        if self._is_crowded() and self._transport is not None:
             self._transport.pause_reading()
         if self._work is None and self._waiting:
             self._work = asyncio.get_running_loop().create_task(self._serve())
@@ -92,6 +99,11 @@
         if writable is not None and not writable.done():
             writable.set_result(None)
 
+    def _is_crowded(self) -> bool:
+        if len(self._waiting) > _MAX_WAITING:
+            return True
+        return sum(map(len, self._waiting)) > _MAX_WAITING_BYTES
+
     def leave(self) -> None:
         """Ask an idle caller to come back elsewhere.
 
@@ -109,7 +121,7 @@
         try:
             while self._waiting and self._transport is not None:
                 line = self._waiting.popleft()
-                if len(self._waiting) < _MAX_WAITING // 2:
+                if not self._is_crowded():
                     self._transport.resume_reading()
                 data = await self._answer(line)
                 self._write(data)
@@ -189,8 +201,9 @@
 class CallerServer:
     """Listen for callers and let them go when the proxy stops."""
 
-    def __init__(self, proxy: Proxy):
+    def __init__(self, proxy: Proxy, descriptors: int):
         self.proxy = proxy
+        self.limit = max(1, descriptors - _OTHER_DESCRIPTORS)
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._draining = False
--- a/src/rosemaryridge/platform/settings.py
+++ b/src/rosemaryridge/platform/settings.py
@@ -23,6 +23,8 @@
     store: Endpoint
     promotions: Endpoint
     peer_ports: tuple[int, int]
+    # Files and connections that the process may have open.
+    descriptors: int
     # The longest time between SIGTERM and SIGKILL, in seconds.
     grace_s: float
 
@@ -58,5 +60,6 @@
         store=Endpoint.parse(data["platform"]["address"]),
         promotions=Endpoint.parse(data["cloud_api"]["address"]),
         peer_ports=(int(first), int(last)),
+        descriptors=int(data["limits"]["max_fds"]),
         grace_s=float(bounds.get("grace_s", 6.0)),
     )
--- a/src/rosemaryridge/platform/wire.py
+++ b/src/rosemaryridge/platform/wire.py
@@ -70,17 +70,24 @@
 
 
 class LineReader:
-    """Cut a stream of bytes into lines."""
+    """Cut a stream of bytes into lines.
+
+    A message that comes in many small parts costs no more than in one.
+    """
 
     __slots__ = ("_rest",)
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the lines that are whole; raise MessageTooLarge."""
-        data = self._rest + data if self._rest else data
-        *lines, self._rest = data.split(_END)
+        searched = max(0, len(self._rest) - 1)
+        self._rest += data
+        lines: list[bytes] = []
+        if self._rest.find(_END, searched) >= 0:
+            *lines, rest = bytes(self._rest).split(_END)
+            self._rest = bytearray(rest)
         longest = max(map(len, lines), default=0)
         if max(longest, len(self._rest)) + len(_END) > MAX_MESSAGE_BYTES:
             raise MessageTooLarge(f"a message is over {MAX_MESSAGE_BYTES} bytes")
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -164,6 +164,26 @@
         self.assertEqual((await client.ask("READ k")).code, "NODB")
 
 
+class FloodTest(SiteCase):
+    async def test_callers_beyond_the_descriptors_are_refused(self):
+        self.entries[0]._callers.limit = 2
+        kept = [await self.client(), await self.client()]
+        with self.assertRaises(ConnectionRefusedError) as caught:
+            await self.client()
+        self.assertIn("BUSY", str(caught.exception))
+        kept[0].close()
+        await asyncio.sleep(0.05)
+        self.assertEqual((await (await self.client()).ask("WRITE k d")).code, "")
+
+    async def test_a_caller_that_floods_is_read_only_as_it_is_served(self):
+        flood, other = await self.client(), await self.client()
+        for _ in range(600):
+            flood.send("SET v " + "x" * 2000)
+        self.assertEqual((await other.ask("WRITE k d")).code, "")
+        replies = [await flood.reply() for _ in range(600)]
+        self.assertEqual({reply.code for reply in replies}, {""})
+
+
 class FreshnessTest(SiteCase):
     options = SiteOptions(lag_s=0.4, max_staleness_ms=300)
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 
 from hypothesis import given
@@ -28,6 +29,14 @@
         with self.assertRaises(wire.MessageTooLarge):
             reader.feed(b"x")
 
+    def test_a_message_in_single_bytes_costs_little(self):
+        reader = wire.LineReader()
+        started = time.process_time()
+        for _ in range(300_000):
+            reader.feed(b"x")
+        # Copying all that came before each byte took over 10 s.
+        self.assertLess(time.process_time() - started, 3.0)
+
     def test_a_message_of_the_bound_passes(self):
         line = b"x" * (wire.MAX_MESSAGE_BYTES - 2)
         self.assertEqual(wire.LineReader().feed(line + b"\r\n"), [line])
