Find a primary whose log lacks the last term

Cause, read in the code: a proof of lead at a position of a lower term was ignored, so that a group whose last term was lost whole with its primary would never have had a known primary again, since no commit could raise the term. Now the newer proof counts. The test fails on the former code.

--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -48,7 +48,7 @@
         self.service = service
         self.targets: dict[str, Target] = {}
         self.primary: str | None = None
-        # That of the newest position seen; a new primary starts with an older one.
+        # That of the primary's newest position.
         self.term = 0
         self._proved_by: str | None = None
         self._proved_at = float("-inf")
@@ -75,16 +75,17 @@
         """Take in that a target led after `sent_at`, at a position of its log.
 
         The position's term is that of the newest commit, which a new primary has
-        from the one before it.
+        from one before it; all of the last term may be lost. So the newer proof
+        counts, and the higher term only beside an older one.
         """
-        if position is None or position.term < self.term:
+        if position is None:
             return
         if target.id != self._proved_by:
-            if sent_at < self._proved_at and position.term == self.term:
+            if sent_at < self._proved_at and position.term <= self.term:
                 return
             self._take_lead(target, position.term)
         self._proved_at = max(self._proved_at, sent_at)
-        self.term = position.term
+        self.term = max(self.term, position.term)
         self._history.observe(position, sent_at)
         target.applied = max(target.applied, position)
 
@@ -139,6 +140,7 @@
             before_term=self.term,
         )
         self.primary = self._proved_by = target.id
+        self.term = term
         # What the primary before it committed last may be lost.
         self._history = PrimaryHistory()
         for one in self.targets.values():
