Report a COMMIT that was never sent as aborted

Cause: a transaction whose connection had ended before COMMIT was sent ended in doubt, which a caller does not repeat, though nothing was kept. The test fails on the former code.

--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -151,6 +151,10 @@
         except (TargetLost, TimeoutError) as exc:
             self._group.suspect(target)
             reason = str(exc) or "no answer in time"
+            if isinstance(exc, TargetLost) and not exc.sent:
+                raise StatementError(
+                    Failure.ABORTED, f"{target.id}: {reason}", 0.1
+                ) from None
             raise StatementError(
                 Failure.UNKNOWN_OUTCOME, f"{target.id} at COMMIT: {reason}"
             ) from None
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -327,6 +327,16 @@
         sent = [ran for ran in self.group.ran if "once" in ran.text]
         self.assertEqual(len(sent), 1)
 
+    async def test_a_commit_on_a_connection_that_has_ended_was_not_run(self):
+        client = await self.client("books-orders")
+        await client.ask("BEGIN")
+        await client.ask("WRITE k d")
+        await self.target(0).crash()
+        await asyncio.sleep(0.05)
+        committed = await client.ask("COMMIT")
+        self.assertEqual((committed.code, committed.state), ("ABORTED", "I"))
+        self.assertEqual(self.target(0).log, [])
+
     async def test_a_read_outlives_the_loss_of_its_target(self):
         client = await self.client("books-browse")
         await client.ask("READ k")
