Send a write's token with its answer where the caller asks for it

Cause of the listed finding of test_drain (a read without its session's write s6-4): s6 carries a token and asked for it with SHOW after the answer. A draining proxy closes idle connections, also between the two, so the caller went on with the token before its write, which binds nothing. The check then held the session to a write it had no token of.

The token of a write now comes with its answer where `report_token` is on, and the load's callers use it; the check stays as it was for writes. A read's position is not known with its answer; a read whose token was lost is recorded as such and binds no later read of that session.

--- a/src/rosemaryridge/proxy/_caller_state.py
+++ b/src/rosemaryridge/proxy/_caller_state.py
@@ -34,6 +34,15 @@
     mark: ReadMark | None = None
     last_outcome: Outcome = Outcome.DONE
     last_key: str = ""
+    reported_token: str = ""
+
+    def unreported_token(self) -> str:
+        """Return the token if the caller asked for it and has not been told it."""
+        token = self.session.token()
+        if not self.options.report_token or token == self.reported_token:
+            return ""
+        self.reported_token = token
+        return token
 
     def ended(self, outcome: Outcome, key: str = "") -> None:
         """Note how a request ended; a key is used up unless that is unknown."""
--- a/src/rosemaryridge/proxy/_session.py
+++ b/src/rosemaryridge/proxy/_session.py
@@ -25,6 +25,7 @@
 from rosemaryridge.proxy._runs import WriteRun
 from rosemaryridge.proxy._setting_statements import initial_state
 from rosemaryridge.proxy._transaction import Transaction
+from rosemaryridge.request import TOKEN
 from rosemaryridge.request import RequestOptions
 from rosemaryridge.request import ServicePolicy
 from rosemaryridge.request import with_option
@@ -251,6 +252,11 @@
         """Send the caller a notice."""
         self.connection.send_notice(plain_fields(sqlstate, message, severity))
 
+    def parameters(self) -> t.Mapping[str, str]:
+        """Return the token with the answer that it covers, so that none is lost."""
+        token = self.state.unreported_token()
+        return {TOKEN: token} if token else {}
+
     def _pass_notice(self, notice: t.Any) -> None:
         self.connection.send_notice(target_fields(notice))
 
--- a/src/rosemaryridge/request/__init__.py
+++ b/src/rosemaryridge/request/__init__.py
@@ -20,6 +20,7 @@
 from rosemaryridge.request._events import Retry
 from rosemaryridge.request._events import Sent
 from rosemaryridge.request._options import PREFIX
+from rosemaryridge.request._options import TOKEN
 from rosemaryridge.request._options import RequestOptions
 from rosemaryridge.request._options import show_option
 from rosemaryridge.request._options import with_option
@@ -30,6 +31,7 @@
 
 __all__ = [
     "PREFIX",
+    "TOKEN",
     "Answered",
     "CancelAsked",
     "CancelTarget",
--- a/src/rosemaryridge/request/_options.py
+++ b/src/rosemaryridge/request/_options.py
@@ -9,6 +9,7 @@
 from rosemaryridge.exceptions import Refusal
 
 PREFIX = "rosemaryridge."
+TOKEN = f"{PREFIX}token"
 _MAX_NAME_CHARS = 200
 
 
@@ -18,6 +19,7 @@
 
     session: str = ""
     token: str = ""
+    report_token: bool | None = None
     max_age_s: float | None = None
     idempotent: bool | None = None
     request_key: str = ""
@@ -104,6 +106,7 @@
 
 
 @_option("idempotent")
+@_option("report_token")
 def _flag(value: str) -> bool | None:
     words = {"on": True, "true": True, "off": False, "false": False, "": None}
     if value.lower() not in words:
--- a/src/rosemaryridge/wire/_caller_connection.py
+++ b/src/rosemaryridge/wire/_caller_connection.py
@@ -128,6 +128,8 @@
 
     async def _ready(self) -> bool:
         self.skipping = False
+        for name, value in self.session.parameters().items():
+            self.send_parameter(name, value)
         status = self.session.status()
         self.stream.write(messages.make_ready_for_query(status))
         await self.stream.drain()
--- a/src/rosemaryridge/wire/_caller_session.py
+++ b/src/rosemaryridge/wire/_caller_session.py
@@ -136,5 +136,9 @@
     def fail(self) -> None:
         """Note that a statement failed; an open transaction fails with it."""
 
+    def parameters(self) -> t.Mapping[str, str]:
+        """Return the parameters whose values the caller must be told now."""
+        return {}
+
     def refused(self, refusal: Refusal) -> None:
         """Take note of a refusal that the caller is about to be told."""
--- a/src/rosemaryridge_testbed/history/_check.py
+++ b/src/rosemaryridge_testbed/history/_check.py
@@ -119,6 +119,8 @@
 
 def _require(required: dict[str, Promise], event: Write | Read) -> None:
     if isinstance(event, Read):
+        if not event.carried:
+            return
         for row in event.rows:
             required.setdefault(row.key, Promise.MONOTONIC)
     elif event.outcome is Outcome.DONE:
--- a/src/rosemaryridge_testbed/history/_events.py
+++ b/src/rosemaryridge_testbed/history/_events.py
@@ -50,12 +50,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Read:
-    """Record one read of all rows of the caller's session."""
+    """Record one read of all rows of the caller's session.
+
+    `carried` tells whether the caller could take along what it had read: a token is
+    asked for after a read, so a connection that closes in between takes it away.
+    """
 
     session: str
     started: float
     ended: float
     rows: tuple[Row, ...]
+    carried: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/rosemaryridge_testbed/load/_caller.py
+++ b/src/rosemaryridge_testbed/load/_caller.py
@@ -8,6 +8,8 @@
 
 from rosemaryridge.model import ORIGIN
 from rosemaryridge.model import Outcome
+from rosemaryridge.request import PREFIX
+from rosemaryridge.request import TOKEN
 from rosemaryridge.session import parse_token
 from rosemaryridge_testbed.fleet import Fleet
 from rosemaryridge_testbed.history import Read
@@ -58,6 +60,8 @@
         self._fleet = fleet
         self._recorder = recorder
         self._settings = dict(settings or {})
+        if carry_token:
+            self._settings[f"{PREFIX}report_token"] = "on"
         self._carry_token = carry_token
         self._timeout_s = timeout_s
         self._conns: dict[str, asyncpg.Connection] = {}
@@ -94,7 +98,8 @@
         outcome = await self._try_write(vm, key, rows)
         ended = time.monotonic()
         position = ORIGIN
-        if outcome is Outcome.DONE and await self._take_token(vm):
+        if outcome is Outcome.DONE and self._carry_token:
+            self._token = self._told_token(vm) or self._token
             position = parse_token(self._token).position
         self._recorder.writes.append(
             Write(self.session, key, started, ended, outcome, rows, position)
@@ -148,27 +153,30 @@
             return False
         ended = time.monotonic()
         rows = tuple(Row(record["session"], record["key"]) for record in found)
-        self._recorder.reads.append(Read(self.session, started, ended, rows))
-        await self._take_token(vm)
+        carried = await self._take_token(vm) if self._carry_token else True
+        read = Read(self.session, started, ended, rows, carried)
+        self._recorder.reads.append(read)
         return True
 
     async def _ready(self, vm: str) -> asyncpg.Connection:
         conn = await self.connection(vm)
         if self._carry_token and self._token:
-            text = f"SET rosemaryridge.token = '{self._token}'"
+            text = f"SET {TOKEN} = '{self._token}'"
             await conn.execute(text, timeout=self._timeout_s)
         return conn
 
     async def _take_token(self, vm: str) -> bool:
-        if not self._carry_token or vm not in self._conns:
-            return False
         try:
-            self._token = await self._conns[vm].fetchval("SHOW rosemaryridge.token")
+            self._token = await self._conns[vm].fetchval(f"SHOW {TOKEN}")
         except (*_LOST, asyncpg.PostgresError) as exc:
             self._give_up(vm, exc)
             return False
         return True
 
+    def _told_token(self, vm: str) -> str:
+        """Return the token that came with the last answer."""
+        return getattr(self._conns[vm].get_settings(), TOKEN, "")
+
     def _note_stray(self, exc: BaseException) -> None:
         state = getattr(exc, "sqlstate", None) or ""
         if state in _TRANSACTION_STATES:
--- a/tests/integration/test_wire.py
+++ b/tests/integration/test_wire.py
@@ -360,6 +360,21 @@
             read = f"/* rosemaryridge.token='{token}' */ SELECT body FROM note"
             self.assertEqual(await second.fetchval(f"{read} WHERE id = 501"), "mine")
 
+    async def test_token_comes_with_the_answer_where_asked_for(self):
+        async with self.caller() as conn, self.caller() as other:
+            await conn.execute("SET rosemaryridge.report_token = on")
+            for text in (
+                "INSERT INTO note VALUES (505, 'a')",
+                "BEGIN; INSERT INTO note VALUES (506, 'b'); COMMIT",
+            ):
+                await conn.execute(text)
+                told = getattr(conn.get_settings(), "rosemaryridge.token")
+                asked = await conn.fetchval("SHOW rosemaryridge.token")
+                self.assertEqual(told, asked)
+            await other.execute("INSERT INTO note VALUES (507, 'c')")
+            silent = getattr(other.get_settings(), "rosemaryridge.token", None)
+            self.assertIsNone(silent)
+
     async def test_token_covers_what_was_read(self):
         async with self.caller() as writer, self.caller() as reader:
             await writer.execute("INSERT INTO note VALUES (511, 'seen')")
