Give fleets that run side by side blocks of ports of their own

Cause: free ports were drawn at random and let go before the process they were for had bound them; of 12 runs of test_drain, three at a time, one proxy found its port taken by another fleet. Three fleets of 35 ports each out of 20,000 collide in about one of six starts.

--- a/src/rosemaryridge_testbed/fleet/_fleet.py
+++ b/src/rosemaryridge_testbed/fleet/_fleet.py
@@ -19,8 +19,8 @@
 from rosemaryridge_testbed.fleet._options import FleetOptions
 from rosemaryridge_testbed.fleet._options import proxy_settings
 from rosemaryridge_testbed.fleet._options import service_config
+from rosemaryridge_testbed.fleet._ports import free_ports
 from rosemaryridge_testbed.fleet._processes import Processes
-from rosemaryridge_testbed.fleet._processes import free_ports
 from rosemaryridge_testbed.fleet._wait import eventually
 
 _STANDIN = "rosemaryridge_testbed.cli.standin"
--- a/src/rosemaryridge_testbed/fleet/_processes.py
+++ b/src/rosemaryridge_testbed/fleet/_processes.py
@@ -2,45 +2,13 @@
 
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
-import typing as t
 
 import rosemaryridge
 
 _END_S = 5.0
-_PORTS = (12_000, 32_000)
-
-
-def free_ports(names: t.Iterable[str]) -> dict[str, int]:
-    """Return a free port for each name.
-
-    The ports lie below those that the kernel gives to outgoing connections, so
-    that none is taken before the process that it is for has bound it.
-    """
-    # Fleets that run side by side must not draw the same numbers.
-    draw = random.SystemRandom()
-    held: dict[str, socket.socket] = {}
-    for name in names:
-        held[name] = _bind(draw)
-    ports = {name: each.getsockname()[1] for name, each in held.items()}
-    for each in held.values():
-        each.close()
-    return ports
-
-
-def _bind(draw: random.Random) -> socket.socket:
-    while True:
-        each = socket.socket()
-        try:
-            each.bind(("127.0.0.1", draw.randrange(*_PORTS)))
-        except OSError:
-            each.close()
-            continue
-        return each
 
 
 class Processes:
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,38 @@
+"""Test that fleets which run side by side never share a port."""
+
+import pathlib
+import tempfile
+import unittest
+
+from rosemaryridge_testbed.fleet._ports import PortBlock
+
+
+class TestPortBlock(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = pathlib.Path(directory.name)
+
+    def test_blocks_of_two_owners_are_apart(self):
+        first, second = self.block(), self.block()
+        self.assertFalse(set(first.ports) & set(second.ports))
+
+    def test_a_closed_block_is_claimed_again(self):
+        first = self.block()
+        first.close()
+        self.assertEqual(self.block().ports, first.ports)
+
+    def test_names_get_ports_of_the_block(self):
+        block = self.block()
+        ports = block.free(f"name-{index}" for index in range(40))
+        self.assertEqual(len(set(ports.values())), 40)
+        self.assertLessEqual(set(ports.values()), set(block.ports))
+
+    def block(self):
+        block = PortBlock(self.directory)
+        self.addCleanup(block.close)
+        return block
+
+
+if __name__ == "__main__":
+    unittest.main()
