--- a/tests/test_core_decisions.py
+++ b/tests/test_core_decisions.py
@@ -15,12 +15,6 @@
 from rosemaryridge.core._admission import Admission
 from rosemaryridge.core._admission import Keeping
 from rosemaryridge.core._census import LiveEntries
-from rosemaryridge.core._failover import NO_CLAIM
-from rosemaryridge.core._failover import Claim
-from rosemaryridge.core._failover import Reason
-from rosemaryridge.core._failover import choose_successor
-from rosemaryridge.core._failover import progress
-from rosemaryridge.core._failover import reason_to_replace
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._metrics import Tally
 from rosemaryridge.core._peers import Peer
@@ -33,6 +27,12 @@
 from rosemaryridge.core._placement import choose_for_read
 from rosemaryridge.core._pool import Pool
 from rosemaryridge.core._pool import TurnTooLate
+from rosemaryridge.core._successor import NO_CLAIM
+from rosemaryridge.core._successor import Claim
+from rosemaryridge.core._successor import Reason
+from rosemaryridge.core._successor import choose_successor
+from rosemaryridge.core._successor import progress
+from rosemaryridge.core._successor import reason_to_replace
 from rosemaryridge.core._target import Target
 from rosemaryridge.core.commands import ConnectFailed
 from rosemaryridge.model import Endpoint
