--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -45,6 +45,9 @@
 # What a primary committed last reaches its replicas within a network delay, 40 ms at
 # most, and is asked for in two round trips.
 _CATCH_UP_S = 0.4
+# An overloaded primary may have no slot and no connection to spare for a while; the
+# claim is respected for longer.
+_STEP_DOWN_S = 2.0
 _RETRY_S = 0.3
 # Proxies that see the same failure start this far apart for each of them, so that
 # one of many acts first within some tens of ms and few others act at all.
@@ -134,6 +137,7 @@
         if reason is Reason.OVERLOADED and not all_lag(conditions):
             lags = {name: round(one.lag_s, 2) for name, one in conditions.items()}
             self._note(group, reason, f"a replica keeps up: {lags}")
+            group.replicas_keep_up()
             return True
         verdict = choose_successor(group, claim, conditions, alone)
         if verdict.target is None:
@@ -175,7 +179,7 @@
 
         None leaves the primary as it is. One that leaves is replaced in any case.
         """
-        last = await self._ask(old, lambda link: link.step_down(term + 1))
+        last = await self._ask(old, lambda link: link.step_down(term + 1), _STEP_DOWN_S)
         if last is None or last.primary:
             self._note(group, None, f"{old.id} does not step down")
             return successor if old.leaving else None
@@ -217,15 +221,18 @@
         }
 
     async def _condition(self, target: Target) -> TargetCondition | None:
-        return await self._ask(target, lambda link: link.ask_condition())
+        return await self._ask(
+            target, lambda link: link.ask_condition(), 2 * PING_TIMEOUT_S
+        )
 
     async def _ask(
         self,
         target: Target,
         question: t.Callable[[Link], t.Awaitable[TargetCondition | None]],
+        timeout_s: float,
     ) -> TargetCondition | None:
         """Return a target's answer; None where it gives none in time."""
-        deadline = asyncio.get_running_loop().time() + 2 * PING_TIMEOUT_S
+        deadline = asyncio.get_running_loop().time() + timeout_s
         try:
             link = await target.pool.acquire(NO_SLOT, deadline, pinned=True)
         except (PoolClosed, TurnTooLate, TimeoutError):
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -128,6 +128,10 @@
         replicas = (one for one in self.targets.values() if one.id != self.primary)
         return self._overload.lasts(now) and replicas_lag(replicas)
 
+    def replicas_keep_up(self) -> None:
+        """Take in that a replica was asked and is up to date."""
+        self._overload.relieved(self._loop.time())
+
     def silent(self, target: Target) -> None:
         """Take in that a target did not answer; it is asked until it does."""
         if target.silent_since is None:
@@ -158,7 +162,7 @@
         )
         if self._proved_at > 0.0:
             # Not the first that is known.
-            self._overload.led(self._loop.time())
+            self._overload.relieved(self._loop.time())
         self.primary = self._proved_by = target.id
         self.term = term
         # What the primary before it committed last may be lost.
--- a/src/rosemaryridge/core/_overload.py
+++ b/src/rosemaryridge/core/_overload.py
@@ -23,14 +23,14 @@
     go to the primary then, and its slots do not suffice.
     """
 
-    __slots__ = ("_last_at", "_led_since", "_since")
+    __slots__ = ("_last_at", "_relieved_at", "_since")
 
     def __init__(self) -> None:
-        self._led_since = self._since = self._last_at = float("-inf")
+        self._relieved_at = self._since = self._last_at = float("-inf")
 
-    def led(self, now: float) -> None:
-        """Take in that another target has begun to lead."""
-        self._led_since = now
+    def relieved(self, now: float) -> None:
+        """Take in that another target leads, or that a replica keeps up."""
+        self._relieved_at = now
         self._since = self._last_at = float("-inf")
 
     def refused(self, now: float) -> None:
@@ -40,13 +40,13 @@
         self._last_at = now
 
     def lasts(self, now: float) -> bool:
-        """Return whether the primary has been refusing work and led for long."""
+        """Return whether the primary has refused work for a while."""
         recent = now - self._last_at <= _APART_S
         lasting = self._last_at - self._since >= _LASTING_S
-        return recent and lasting and now - self._led_since >= _SETTLED_S
+        return recent and lasting and now - self._relieved_at >= _SETTLED_S
 
 
 def replicas_lag(replicas: t.Iterable[Target]) -> bool:
-    """Return whether some replica lags for long, and none is known to keep up."""
+    """Return whether some replica that answers lags for long."""
     lags = [one.lag_s for one in replicas if one.silent_since is None]
     return max(lags, default=0.0) >= LONG_LAG_S
--- a/tests/test_core_decisions.py
+++ b/tests/test_core_decisions.py
@@ -245,7 +245,7 @@
 
     def test_a_primary_that_has_just_taken_over_stays(self):
         overload = Overload()
-        overload.led(10.0)
+        overload.relieved(10.0)
         overload.refused(11.0)
         overload.refused(12.0)
         self.assertFalse(overload.lasts(12.0))
