Leave room for the connections of processes that have just died

Targets count the dead connections for 3 s; each new proxy shared a target's 394 connections among 16 proxies until it had counted them, up to 22 each, and among 139 then, 2 each: 1,691 refusals for too many connections between 35 and 37 s, and callers that waited for them. Now a proxy opens one connection a target before the count, and half its share until 3.3 s after its start. How connections are divided is one object.

--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -8,6 +8,7 @@
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._pool import Pool
+from rosemaryridge.core._shares import Shares
 from rosemaryridge.core._target import Target
 from rosemaryridge.core._target_info import TargetInfo
 from rosemaryridge.core.commands import Connect
@@ -17,7 +18,7 @@
 # return if the target lives.
 _REMOVAL_GRACE_S = 2.5
 # Connections to one target before its service's limit is known.
-_FIRST_LIMIT = 2
+_FIRST_LIMIT = 1
 
 
 class Directory:
@@ -28,8 +29,7 @@
         connect: Connect,
         log: EventLog,
         on_trouble: t.Callable[[Group], None],
-        share: t.Callable[[int], int],
-        proxies: t.Callable[[], int],
+        shares: Shares,
         rng: random.Random,
     ):
         self.groups: dict[str, Group] = {}
@@ -39,8 +39,7 @@
         self._connect = connect
         self._log = log
         self._on_trouble = on_trouble
-        self._share = share
-        self._proxies = proxies
+        self._shares = shares
         self._rng = rng
         self._limits: t.Mapping[str, int] = {}
         self._loop = asyncio.get_running_loop()
@@ -199,12 +198,12 @@
             group.suspect(target)
 
     def _is_scarce(self, service: str) -> bool:
-        proxies = self._proxies()
-        return self._limits.get(service, proxies) < proxies
+        total = self._limits.get(service)
+        return total is not None and self._shares.are_scarce(total)
 
     def _limit(self, service: str) -> int:
         total = self._limits.get(service)
-        return _FIRST_LIMIT if total is None else self._share(total)
+        return _FIRST_LIMIT if total is None else self._shares.of(total)
 
 
 def _same_process(old: TargetInfo, new: TargetInfo) -> bool:
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -17,6 +17,7 @@
 from rosemaryridge.core._runner import Runner
 from rosemaryridge.core._session import PreparedNames
 from rosemaryridge.core._session import Session
+from rosemaryridge.core._shares import Shares
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
 from rosemaryridge.core._statement import Statement
@@ -27,11 +28,8 @@
 _OPEN_WAIT_S = 1.8
 # Steps of a statement that one log line shows, the newest.
 _TRAIL_SHOWN = 8
-# Proxies that a target's connections are divided among before more is known.
-_FIRST_PROXIES = 16
-# Connections of proxies that died without a word are dropped after 3 s; this part
-# of the limit is kept free for them and for those that start.
-_SPARE_SHARE = 0.1
+# Connections of proxies that died without a word are dropped after 3 s.
+_LINGER_S = 3.3
 
 
 class Proxy:
@@ -49,12 +47,11 @@
         self.tally = Tally()
         self.tally.gauges(self._gauges)
         self.config = ConfigHolder()
-        self.proxies = _FIRST_PROXIES
-        self.directory = Directory(
-            connect, log, on_trouble, self._share, lambda: self.proxies, rng
-        )
+        self.shares = Shares()
+        self.directory = Directory(connect, log, on_trouble, self.shares, rng)
         self.runner = Runner(rng, PreparedNames(), log, self.tally)
         self.reader = Reader(self.runner, failure_domain, rng)
+        asyncio.get_running_loop().call_later(_LINGER_S, self._take_whole_share)
         self._ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     @property
@@ -127,13 +124,14 @@
 
     def set_proxies(self, proxies: int) -> None:
         """Take in among how many proxies connections are shared."""
-        if proxies != self.proxies:
-            self.log.write("proxies_counted", proxies=proxies, before=self.proxies)
-            self.proxies = proxies
+        before = self.shares.proxies
+        if proxies != before:
+            self.log.write("proxies_counted", proxies=proxies, before=before)
+            self.shares.proxies = proxies
             self.directory.share_changed()
 
     def _gauges(self) -> t.Iterator[tuple[str, Labels, float]]:
-        yield "proxies", (), self.proxies
+        yield "proxies", (), self.shares.proxies
         yield "config_version", (), self.config.current.version
         yield "log_lines_left_out", (), self.log.left_out
         now = asyncio.get_running_loop().time()
@@ -150,5 +148,6 @@
                 yield "target_waiting", labels, target.pool.waiting
                 yield "target_lanes", labels, target.pool.admission.lanes
 
-    def _share(self, connections: int) -> int:
-        return max(1, int(connections * (1.0 - _SPARE_SHARE) / self.proxies))
+    def _take_whole_share(self) -> None:
+        self.shares.just_started = False
+        self.directory.share_changed()
--- a/tests/test_core_decisions.py
+++ b/tests/test_core_decisions.py
@@ -28,6 +28,7 @@
 from rosemaryridge.core._placement import choose_for_read
 from rosemaryridge.core._pool import Pool
 from rosemaryridge.core._pool import TurnTooLate
+from rosemaryridge.core._shares import Shares
 from rosemaryridge.core._successor import NO_CLAIM
 from rosemaryridge.core._successor import Claim
 from rosemaryridge.core._successor import Reason
@@ -343,6 +344,27 @@
         self.assertGreater(keeping.keep_s, shortest)
 
 
+class SharesTest(unittest.TestCase):
+    def test_all_fit_beside_the_connections_of_processes_that_died(self):
+        # Seen on suva grown: 139 proxies that had lost power opened up to 11 each to
+        # targets that take 394, before they had counted themselves.
+        shares = Shares()
+        self.assertEqual(shares.of(394), 1)
+        shares.proxies = 139
+        at_start = shares.of(394)
+        shares.just_started = False
+        self.assertEqual(shares.of(394), 2)
+        self.assertLessEqual(139 * (at_start + 1), 394)
+
+    def test_every_proxy_may_open_one(self):
+        shares = Shares()
+        shares.proxies = 97
+        self.assertEqual(shares.of(89), 1)
+        self.assertTrue(shares.are_scarce(89))
+        shares.proxies = 15
+        self.assertFalse(shares.are_scarce(89))
+
+
 class PoolTest(GroupCase):
     async def test_the_most_urgent_goes_first(self):
         pool = self.target("a").pool
