Make fewer calls to the store, and count proxies at once

Targets that keep changing are gathered for up to 3 s; a watch waits for the 30 s that the store allows; a ping is a stale read, and none is made while a follower knows that the store is away; a claim is looked at in a stale read, and read again by who acts. A proxy counts the others as soon as it has registered, which is right after a restart, and takes its share of connections a second sooner.

Ruled out: listing anew from a stale list after a cut watch (it may lack what the watch was not told). Calls that a cut-off store resets cost the whole price, stale or not.

The test that waited for a mute target's answer lets the read before it end first: its connection was in use, and "busy" was true.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -49,12 +49,13 @@
 # others of its failure domain may not be.
 _ISOLATED_S = 0.5
 _ISOLATION_POLL_S = 0.25
+# Targets register one after the other when many start; one that leaves serves for 7 s
+# or more after it has said so.
+_TARGETS_GATHER_S = 3.0
 # A healthy store answers in 4 ms, a slow one seldom takes longer than this.
 _STORE_PROBE_S = 0.4
 # While the store is in doubt it is asked this often; each call is priced.
 _STORE_PROBE_PERIOD_S = 1.0
-# No object has this name, so that the answer is short.
-_PROBE_NAME = "probe"
 
 
 class Entry:
@@ -107,6 +108,7 @@
                 self._log,
                 rng,
                 outage,
+                _TARGETS_GATHER_S,
             ),
         )
 
@@ -219,9 +221,12 @@
         )
 
     async def _reach_store(self) -> bool:
+        if not all(one.reachable for one in self._followers):
+            # They ask until it answers.
+            return False
         try:
             async with asyncio.timeout(_STORE_PROBE_S):
-                await self._store.get(documents.CONFIG_KIND, _PROBE_NAME)
+                await self._store.ping()
         except (StoreUnavailable, TimeoutError):
             return False
         except StoreError:
--- a/src/rosemaryridge/core/_census.py
+++ b/src/rosemaryridge/core/_census.py
@@ -10,7 +10,8 @@
 
 PROXIES_KIND = "proxies"
 
-# All proxies start within 0.3 s of each other; a count before that is too low.
+# All proxies start within 0.3 s of each other; a count before that is too low where
+# none had been registered before.
 _FIRST_COUNT_S = 1.0
 _COUNT_PERIOD_S = 20.0
 _RETRY_S = 2.0
@@ -68,6 +69,7 @@
         self._live = LiveEntries()
         self._renewed_at = float("-inf")
         self._renewals = 0
+        self._counts = 0
 
     async def run(self) -> None:
         """Register and count until cancelled."""
@@ -85,23 +87,22 @@
         if now - self._renewed_at >= _RENEWAL_S:
             await self._renew()
             self._renewed_at = now
-            if self._renewals == 1:
-                return _FIRST_COUNT_S
         listing = await self._store.list(PROXIES_KIND, stale=True)
         revisions = {one.name: one.revision for one in listing.objects}
         live = self._live.of(revisions, now)
         self._on_list(
             {one.name: one.spec for one in listing.objects if one.name in live}
         )
-        return _COUNT_PERIOD_S
+        self._counts += 1
+        return _COUNT_PERIOD_S if self._counts > 1 else _FIRST_COUNT_S
 
     async def _renew(self) -> None:
         """Write the own entry; that of an earlier process stands until the renewal."""
-        self._renewals += 1
         spec = {**self.described, "draw": self._rng.random()}
         try:
             await self._store.put(PROXIES_KIND, self._vm, spec, 0)
         except StoreConflict:
-            if self._renewals > 1:
+            if self._renewals:
                 stored = await self._store.get(PROXIES_KIND, self._vm)
                 await self._store.put(PROXIES_KIND, self._vm, spec, stored.revision)
+        self._renewals += 1
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -57,7 +57,7 @@
 class ClaimStore(t.Protocol):
     """Read and write claims under a condition."""
 
-    async def get(self, kind: str, name: str) -> t.Any:
+    async def get(self, kind: str, name: str, stale: bool = False) -> t.Any:
         """Return an object; revision 0 where there is none."""
 
     async def put(self, kind: str, name: str, spec: t.Any, revision: int) -> int:
@@ -125,9 +125,9 @@
 
     async def _replace(self, group: Group, reason: Reason, alone: bool) -> bool:
         old = group.lead
-        stored = await self._store.get(CLAIMS_KIND, group.service)
-        claim = Claim.decode(stored.spec)
-        if claim.term >= group.term and self._is_respected(group, stored.revision):
+        # Many look and few act, who look again.
+        claim, revision = await self._read_claim(group, stale=True)
+        if self._is_respected(group, claim, revision):
             return False
         conditions = await self._conditions(group)
         if reason in UNCERTAIN:
@@ -140,6 +140,11 @@
             group.replicas_keep_up()
             return True
         verdict = choose_successor(group, claim, conditions, alone)
+        if verdict.target is not None:
+            claim, revision = await self._read_claim(group)
+            if self._is_respected(group, claim, revision):
+                return False
+            verdict = choose_successor(group, claim, conditions, alone)
         if verdict.target is None:
             self._note(group, reason, verdict.why)
             if verdict.leader is not None:
@@ -152,7 +157,7 @@
             verdict.target.id,
             old.id if old else claim.target,
         )
-        if not await self._claim(group, own, stored.revision):
+        if not await self._claim(group, own, revision):
             return False
         self._log.write(
             "promotion_ordered",
@@ -264,10 +269,16 @@
         self._seen[group.service] = (revision, asyncio.get_running_loop().time())
         return True
 
-    def _is_respected(self, group: Group, revision: int) -> bool:
+    async def _read_claim(self, group: Group, stale: bool = False) -> tuple[Claim, int]:
+        stored = await self._store.get(CLAIMS_KIND, group.service, stale=stale)
+        return Claim.decode(stored.spec), stored.revision
+
+    def _is_respected(self, group: Group, claim: Claim, revision: int) -> bool:
+        if claim.term < group.term:
+            return False
         now = asyncio.get_running_loop().time()
         known, since = self._seen.get(group.service, (0, 0.0))
-        if known != revision:
+        if revision > known:
             self._seen[group.service] = (revision, now)
             return True
         return now - since < _CLAIM_S
--- a/src/rosemaryridge/core/_follower.py
+++ b/src/rosemaryridge/core/_follower.py
@@ -9,12 +9,12 @@
 from rosemaryridge.exceptions import StoreHistoryGone
 from rosemaryridge.exceptions import StoreLimited
 
-# A watch that waits longer saves calls; TCP's own probes find a dead connection.
-_WATCH_WAIT_S = 25.0
+# The longest that the store allows; TCP's own probes find a dead connection.
+_WATCH_WAIT_S = 30.0
 # A follower that waits for another asks by itself after this.
 _OUTAGE_MAX_S = 5.0
 # How long changes are gathered after one; a third of the 3 s that the strictest
-# deployment gives a change until it must be in force.
+# deployment gives a configuration until it must be in force.
 _GATHER_S = 1.0
 # How soon a failed call is repeated; what changed meanwhile must be in force within
 # seconds of the store's return.
@@ -25,6 +25,9 @@
 class WatchedStore(t.Protocol):
     """List and watch objects of a kind."""
 
+    async def ping(self) -> None:
+        """Return if the store answers; raise StoreError."""
+
     async def list(self, kind: str) -> t.Any:
         """Return every object of a kind and the store's revision."""
 
@@ -32,6 +35,28 @@
         """Return the changes after a revision and the next revision."""
 
 
+class Gathering:
+    """Decide how long changes are gathered before the next watch.
+
+    It answers many targets that register one after the other before many proxies:
+    each watch is a call of every proxy.
+    """
+
+    def __init__(self, most_s: float):
+        self._most_s = most_s
+        self._last_s = _GATHER_S
+        self._until = float("-inf")
+
+    def next_s(self, now: float) -> float:
+        """Return for how long to gather; longer while changes keep coming."""
+        if now - self._until > self._last_s:
+            self._last_s = _GATHER_S
+        else:
+            self._last_s = min(self._most_s, 2 * self._last_s)
+        self._until = now + self._last_s
+        return self._last_s
+
+
 class Outage:
     """Let one of several followers ask a store that does not answer.
 
@@ -70,6 +95,7 @@
         log: EventLog,
         rng: random.Random,
         outage: Outage,
+        gather_most_s: float = _GATHER_S,
     ):
         self._outage = outage
         self.reachable = False
@@ -81,6 +107,8 @@
         self._log = log
         self._rng = rng
         self._revision: int | None = None
+        self._in_doubt = False
+        self._gathering = Gathering(gather_most_s)
         self._retry_s = _RETRY_MIN_S
 
     async def run(self) -> None:
@@ -95,11 +123,15 @@
                 # A watch that was cut may have missed changes that the next would
                 # not be told of.
                 self._revision = None
+                self._in_doubt = True
                 await self._failed(exc)
             else:
                 self._succeeded()
 
     async def _step(self) -> None:
+        if self._in_doubt:
+            await self._store.ping()
+            self._in_doubt = False
         if self._revision is None:
             listing = await self._store.list(self._kind)
             self._revision = listing.revision
@@ -111,9 +143,10 @@
         self._revision = revision
         for change in changes:
             self._on_change(change)
-        if changes:
-            # Changes come in groups; one watch for all of them is one call.
-            await asyncio.sleep(_GATHER_S)
+        if not changes:
+            return
+        # Changes come in groups; one watch for all of them is one call.
+        await asyncio.sleep(self._gathering.next_s(asyncio.get_running_loop().time()))
 
     def _succeeded(self) -> None:
         self._outage.succeeded(self)
--- a/src/rosemaryridge/core/_overload.py
+++ b/src/rosemaryridge/core/_overload.py
@@ -7,6 +7,9 @@
 # A replica this far behind serves no session that has just written, and soon nobody:
 # data may be 1.5 s old at most on the strictest route that replicas serve.
 LONG_LAG_S = 1.0
+# A lag that is worth a promotion: that stops writes for 0.7 s, and a lag this long goes
+# on for seconds.
+RELIEF_LAG_S = 5.0
 # Refusals for want of a slot that are closer together may be one burst's, those
 # further apart two bursts'.
 _LASTING_S = 0.3
--- a/src/rosemaryridge/core/_successor.py
+++ b/src/rosemaryridge/core/_successor.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from rosemaryridge.core._group import Group
-from rosemaryridge.core._overload import LONG_LAG_S
+from rosemaryridge.core._overload import RELIEF_LAG_S
 from rosemaryridge.core._statement import TargetCondition
 from rosemaryridge.core._target import Target
 
@@ -74,8 +74,8 @@
 
 
 def all_lag(conditions: t.Mapping[str, TargetCondition]) -> bool:
-    """Return whether no target would serve what was written a moment ago."""
-    return all(one.lag_s >= LONG_LAG_S for one in conditions.values())
+    """Return whether no target will serve recent data for a while."""
+    return all(one.lag_s >= RELIEF_LAG_S for one in conditions.values())
 
 
 def reason_to_replace(group: Group, now: float) -> Reason | None:
--- a/src/rosemaryridge/platform/store.py
+++ b/src/rosemaryridge/platform/store.py
@@ -21,6 +21,8 @@
 # What a watch may take beyond the wait that it asked for.
 _WATCH_SLACK_S = 2.0
 _RETRY_AFTER_S = 0.5
+# No object has this name, so that the answer is short.
+_PING_KIND, _PING_NAME = "config", "ping"
 
 
 class StoredObject(t.NamedTuple):
@@ -69,13 +71,18 @@
             objects += [_object(item) for item in data["items"]]
         return Listing(tuple(objects), revision)
 
-    async def get(self, kind: str, name: str) -> StoredObject:
-        """Return an object."""
-        answer = await self._call("GET", _path(kind, name))
+    async def get(self, kind: str, name: str, stale: bool = False) -> StoredObject:
+        """Return an object; a stale answer costs a tenth and may be seconds old."""
+        flag = "?stale_ok=1" if stale else ""
+        answer = await self._call("GET", _path(kind, name) + flag)
         if answer.status == 404:
             return StoredObject(name, 0, None)
         return _object(self._body(answer))
 
+    async def ping(self) -> None:
+        """Return if the store answers; cheaper than any other call."""
+        await self.get(_PING_KIND, _PING_NAME, stale=True)
+
     async def watch(
         self, kind: str, revision: int, wait_s: float
     ) -> tuple[tuple[Change, ...], int]:
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -423,6 +423,8 @@
     async def test_a_refused_caller_is_led_elsewhere_while_the_proxy_is_cut_off(self):
         client = await self.client("books-orders")
         await client.ask("READ k")
+        # Until the read's transaction has ended, its connection is in use.
+        await asyncio.sleep(0.05)
         self.site.store.fault = "silent"
         self.site.store.cut_watches()
         for number in range(3):
--- a/tests/test_core_decisions.py
+++ b/tests/test_core_decisions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 import unittest
 
 from hypothesis import given
@@ -14,7 +15,9 @@
 from rosemaryridge.core import TargetInfo
 from rosemaryridge.core._admission import Admission
 from rosemaryridge.core._admission import Keeping
+from rosemaryridge.core._census import Census
 from rosemaryridge.core._census import LiveEntries
+from rosemaryridge.core._follower import Gathering
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._metrics import Tally
 from rosemaryridge.core._overload import Overload
@@ -38,6 +41,8 @@
 from rosemaryridge.core._successor import reason_to_replace
 from rosemaryridge.core._target import Target
 from rosemaryridge.core.commands import ConnectFailed
+from rosemaryridge.exceptions import StoreConflict
+from rosemaryridge.exceptions import StoreUnavailable
 from rosemaryridge.model import Endpoint
 from rosemaryridge.model import Position
 
@@ -516,6 +521,20 @@
                 decode(data)
 
 
+class GatheringTest(unittest.TestCase):
+    def test_changes_that_keep_coming_are_gathered_for_longer(self):
+        gathering = Gathering(3.0)
+        self.assertEqual(gathering.next_s(10.0), 1.0)
+        self.assertEqual(gathering.next_s(11.2), 2.0)
+        self.assertEqual(gathering.next_s(13.9), 3.0)
+        self.assertEqual(gathering.next_s(17.0), 3.0)
+
+    def test_a_single_change_is_in_force_soon(self):
+        gathering = Gathering(3.0)
+        for at in (10.0, 13.0, 16.0):
+            self.assertEqual(gathering.next_s(at), 1.0)
+
+
 class CensusTest(unittest.TestCase):
     def test_entries_that_are_not_renewed_count_no_longer(self):
         live = LiveEntries()
@@ -525,6 +544,47 @@
         self.assertEqual(live.of({"b": 3}, 210.0), {"b"})
 
 
+class StubStore:
+    def __init__(self, *faults):
+        self.calls = []
+        self._faults = list(faults)
+
+    async def put(self, kind, name, spec, revision):
+        self.calls.append("put")
+        if self._faults:
+            raise self._faults.pop(0)
+        return 1
+
+    async def get(self, kind, name, stale=False):
+        self.calls.append("get")
+
+    async def list(self, kind, stale=False):
+        self.calls.append("list")
+        return types.SimpleNamespace(objects=())
+
+
+class CensusCallsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.counts = []
+
+    def census(self, store):
+        return Census("vm-1", store, self.counts.append, StubLog(), random.Random(1))
+
+    async def test_proxies_are_counted_at_once_and_again_soon(self):
+        census = self.census(StubStore())
+        first = await census._step()
+        self.assertEqual(len(self.counts), 1)
+        self.assertGreater(await census._step(), 5 * first)
+
+    async def test_a_registration_that_failed_is_repeated_as_the_first(self):
+        store = StubStore(StoreUnavailable("away"), StoreConflict("there"))
+        census = self.census(store)
+        with self.assertRaises(StoreUnavailable):
+            await census._step()
+        await census._step()
+        self.assertEqual(store.calls, ["put", "put", "list"])
+
+
 class TallyTest(unittest.TestCase):
     def test_counts_and_times_are_shown(self):
         tally = Tally()
