Write the pauses between tries once

Behaviour as before, but for three: a read whose prepared statement a target forgot forgets the name, as writes did; a caller sent away by a proxy that is cut off is told so and not that it stops; a failed connection is reported as suspect once. Six copies of the doubled pause are one object, two copies of an answer in another state and two of the way back of a connection are gone.

--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -194,8 +194,6 @@
             reason=str(exc),
             open=target.pool.size,
         )
-        if not exc.full:
-            group.suspect(target)
 
     def _is_scarce(self, service: str) -> bool:
         total = self._limits.get(service)
--- a/src/rosemaryridge/core/_reader.py
+++ b/src/rosemaryridge/core/_reader.py
@@ -10,8 +10,6 @@
 from rosemaryridge.core._placement import ReadNeed
 from rosemaryridge.core._placement import choose_for_read
 from rosemaryridge.core._runner import ABANDONED_S
-from rosemaryridge.core._runner import RETRY_MAX_S
-from rosemaryridge.core._runner import RETRY_MIN_S
 from rosemaryridge.core._runner import Runner
 from rosemaryridge.core._session import Session
 from rosemaryridge.core._session import needed_position
@@ -57,7 +55,7 @@
         statement: Statement,
         deadline: float,
     ) -> Answer:
-        retry_s = RETRY_MIN_S
+        backoff = self._runner.backoff(deadline)
         while True:
             target = await group.wait_for_lead(deadline)
             link = await self._runner.link(session, group, target, route, deadline)
@@ -70,8 +68,7 @@
                     return answer
                 if answer is not None:
                     reason, failure = answer.detail, answer.failure
-            await self._runner.pause(retry_s, deadline, reason, failure)
-            retry_s = min(RETRY_MAX_S, 2 * retry_s)
+            await backoff.pause(reason, failure)
 
     async def _guarded(
         self,
@@ -104,7 +101,7 @@
         if answer.failure is Failure.READ_ONLY:
             group.deposed(target)
         self._runner.spawn(self._runner.roll_back(target, link))
-        return _idle(answer)
+        return answer.in_state(TransactionState.IDLE)
 
     async def anywhere(
         self,
@@ -130,7 +127,7 @@
         deadline: float,
     ) -> Answer:
         tried: set[str] = set()
-        retry_s = RETRY_MIN_S
+        backoff = self._runner.backoff(deadline)
         running: set[asyncio.Task[Answer | None]] = set()
         last = (Failure.BUSY, "no target could be reached")
         while True:
@@ -144,8 +141,7 @@
                         session, route, group, statement, deadline
                     )
                 tried.clear()
-                await self._runner.pause(retry_s, deadline, last[1], last[0])
-                retry_s = min(RETRY_MAX_S, 2 * retry_s)
+                await backoff.pause(last[1], last[0])
                 continue
             if target is not None:
                 tried.add(target.id)
@@ -211,10 +207,7 @@
             group.suspect(target)
             return None
         self.learn(target, need, answer)
-        if answer.state is TransactionState.IDLE:
-            target.pool.release(link)
-        else:
-            target.pool.discard(link)
+        self._runner.settle(group, target, link, answer)
         return answer
 
     def learn(self, target: Target, need: ReadNeed, answer: Answer) -> None:
@@ -255,15 +248,3 @@
     def __init__(self) -> None:
         self.over = False
         self.sent = False
-
-
-def _idle(answer: Answer) -> Answer:
-    """Return an answer as a caller outside a transaction sees it."""
-    return Answer(
-        answer.rows,
-        answer.signature,
-        answer.failure,
-        answer.detail,
-        TransactionState.IDLE,
-        answer.position,
-    )
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from rosemaryridge.core._backoff import Backoff
 from rosemaryridge.core._boottime import boottime
 from rosemaryridge.core._config import Route
 from rosemaryridge.core._event_log import EventLog
@@ -26,9 +27,6 @@
 from rosemaryridge.core.commands import Run
 from rosemaryridge.model import Position
 
-# A full or lagging target is asked again after this, doubled each time.
-RETRY_MIN_S = 0.03
-RETRY_MAX_S = 0.24
 # A target that owes an answer for this long is asked whether it lives.
 _CHECK_AFTER_S = 0.15
 # A link whose answer nobody waits for any more is given up after this.
@@ -62,13 +60,12 @@
         The write is sent again only after an answer that says it has not run.
         """
         deadline = self._loop.time() + route.timeout_s
-        retry_s = RETRY_MIN_S
+        backoff = self.backoff(deadline)
         while True:
             target = await group.wait_for_lead(deadline)
             link = await self.link(session, group, target, route, deadline)
             if link is None:
-                await self.pause(retry_s, deadline, "the primary cannot be reached")
-                retry_s = min(RETRY_MAX_S, 2 * retry_s)
+                await backoff.pause("the primary cannot be reached")
                 continue
             answer = await self._write_once(
                 session, group, target, link, statement, deadline
@@ -85,8 +82,7 @@
             if answer.failure is Failure.BUSY:
                 # The target's pool waits before the next statement.
                 continue
-            await self.pause(retry_s, deadline, answer.detail, answer.failure)
-            retry_s = min(RETRY_MAX_S, 2 * retry_s)
+            await backoff.pause(answer.detail, answer.failure)
 
     async def _write_once(
         self,
@@ -203,6 +199,11 @@
             group.deposed(target)
         if answer.failure is Failure.UNKNOWN_STATEMENT:
             link.prepared.clear()
+        self._give_back(target, link, answer, pinned)
+
+    def _give_back(
+        self, target: Target, link: Link, answer: Answer, pinned: bool
+    ) -> None:
         if answer.state is TransactionState.IDLE:
             target.pool.release(link, pinned)
         else:
@@ -225,20 +226,9 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def pause(
-        self,
-        delay_s: float,
-        deadline: float,
-        reason: str,
-        failure: Failure = Failure.BUSY,
-    ) -> None:
-        """Wait before another try; raise StatementError where none would fit."""
-        delay_s *= self._rng.uniform(0.7, 1.3)
-        if self._loop.time() + delay_s >= deadline:
-            if failure not in (Failure.BUSY, Failure.READ_ONLY, Failure.LAGGING):
-                failure = Failure.BUSY
-            raise StatementError(failure, reason, 0.2)
-        await asyncio.sleep(delay_s)
+    def backoff(self, deadline: float) -> Backoff:
+        """Return the pauses between the tries of one statement."""
+        return Backoff(deadline, self._rng)
 
     async def begin(
         self,
@@ -272,7 +262,4 @@
         except (TargetLost, TimeoutError):
             target.pool.discard(link, pinned)
             return
-        if answer.state is TransactionState.IDLE:
-            target.pool.release(link, pinned)
-        else:
-            target.pool.discard(link, pinned)
+        self._give_back(target, link, answer, pinned)
--- a/src/rosemaryridge/core/_statement.py
+++ b/src/rosemaryridge/core/_statement.py
@@ -97,6 +97,10 @@
         """Return whether the statement succeeded."""
         return self.failure is None
 
+    def in_state(self, state: TransactionState) -> "Answer":
+        """Return the answer as a caller in another transaction state sees it."""
+        return dataclasses.replace(self, state=state)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetCondition:
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -7,8 +7,6 @@
 from rosemaryridge.core._config import Route
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._reader import Reader
-from rosemaryridge.core._runner import RETRY_MAX_S
-from rosemaryridge.core._runner import RETRY_MIN_S
 from rosemaryridge.core._runner import Runner
 from rosemaryridge.core._session import Session
 from rosemaryridge.core._statement import NOT_RUN
@@ -72,13 +70,13 @@
         if answer.state is not TransactionState.OPEN:
             self.failed = True
             self._end()
-            return _with_state(answer, TransactionState.FAILED)
+            return answer.in_state(TransactionState.FAILED)
         self._wait_for_caller()
         return answer
 
     async def _run(self, statement: Statement, deadline: float) -> Answer:
         target, link = await self._opened(deadline)
-        retry_s = RETRY_MIN_S
+        backoff = self._runner.backoff(deadline)
         while True:
             answer = await self._exchange(target, link, statement, deadline)
             if answer.failure is Failure.READ_ONLY:
@@ -88,8 +86,7 @@
                 return answer
             if answer.failure is Failure.UNKNOWN_STATEMENT:
                 link.prepared.clear()
-            await self._runner.pause(retry_s, deadline, answer.detail)
-            retry_s = min(RETRY_MAX_S, 2 * retry_s)
+            await backoff.pause(answer.detail)
 
     async def _exchange(
         self, target: Target, link: Link, statement: Statement, deadline: float
@@ -121,7 +118,7 @@
 
     async def _commit(self, statement: Statement, deadline: float) -> Answer:
         target, link = await self._opened(deadline)
-        retry_s = RETRY_MIN_S
+        backoff = self._runner.backoff(deadline)
         while True:
             sent_at = boottime()
             answer = await self._send_commit(target, link, statement, deadline)
@@ -129,12 +126,11 @@
                 answer.state is not TransactionState.OPEN
             ):
                 break
-            await self._runner.pause(retry_s, deadline, answer.detail)
-            retry_s = min(RETRY_MAX_S, 2 * retry_s)
+            await backoff.pause(answer.detail)
         self._take_result(answer, target, sent_at)
         self._target = self._link = None
         self._runner.settle(self._group, target, link, answer, pinned=True)
-        return _with_state(answer, TransactionState.IDLE)
+        return answer.in_state(TransactionState.IDLE)
 
     def _take_result(self, answer: Answer, target: Target, sent_at: float) -> None:
         if answer.ok and answer.position is not None and not self._anywhere:
@@ -202,7 +198,7 @@
     async def _open(self) -> None:
         deadline = self._loop.time() + self._route.timeout_s
         tried: set[str] = set()
-        retry_s = RETRY_MIN_S
+        backoff = self._runner.backoff(deadline)
         while not self._ended:
             answer = await self._open_once(tried, deadline)
             if answer is not None and answer.ok:
@@ -211,8 +207,7 @@
             failure = (answer and answer.failure) or Failure.BUSY
             if not self._anywhere or len(tried) >= len(self._group.targets):
                 tried.clear()
-                await self._runner.pause(retry_s, deadline, reason, failure)
-                retry_s = min(RETRY_MAX_S, 2 * retry_s)
+                await backoff.pause(reason, failure)
 
     async def _open_once(self, tried: set[str], deadline: float) -> Answer | None:
         need = None
@@ -263,14 +258,3 @@
     def _expire(self) -> None:
         self._expired = True
         self._end()
-
-
-def _with_state(answer: Answer, state: TransactionState) -> Answer:
-    return Answer(
-        answer.rows,
-        answer.signature,
-        answer.failure,
-        answer.detail,
-        state,
-        answer.position,
-    )
--- a/src/rosemaryridge/platform/callers.py
+++ b/src/rosemaryridge/platform/callers.py
@@ -110,7 +110,7 @@
         The message answers a request that is on its way, which is then not run.
         """
         self._leaving = True
-        detail = "the proxy is stopping; retry after 0 ms"
+        detail = f"{self._server.farewell}; retry after 0 ms"
         self._write(wire.encode_failure(Failure.BUSY, detail))
 
     def cut(self) -> None:
@@ -220,6 +220,11 @@
             backlog=_BACKLOG,
         )
 
+    @property
+    def farewell(self) -> str:
+        """Return why callers are sent elsewhere."""
+        return "the proxy is " + ("stopping" if self._draining else "cut off")
+
     def drain(self) -> None:
         """Send callers elsewhere as soon as each is between two operations.
 
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -434,7 +434,9 @@
         status, _ = self.entries[0]._readiness()
         self.assertEqual(status, 503)
         self.assertEqual((await client.ask("WRITE k d")).code, "BUSY")
-        self.assertIn("ERROR BUSY", await client.line())
+        line = await client.line()
+        self.assertTrue(line.startswith("ERROR BUSY"), line)
+        self.assertIn("cut off", line)
 
 
 class StoreTest(SiteCase):
