--- a/src/rosemaryridge_testbed/site/_target.py
+++ b/src/rosemaryridge_testbed/site/_target.py
@@ -244,16 +244,16 @@
         await self._rollback(connection, "")
         if failed:
             raise Refused(f"ABORTED {self.name}")
+        await self._work()
         if writes and not self.leads:
             raise Refused(f"READONLY {self.name}")
-        await self._work()
         for item, data in writes:
             self._append(item, data)
         return [], self._sign()
 
     async def _read(self, connection: _Connection, rest: str) -> tuple[list, str]:
-        self._check_lead(connection)
         await self._work()
+        self._check_lead(connection)
         data = next(
             (
                 one.data
@@ -266,9 +266,9 @@
         return [data], self._sign()
 
     async def _write(self, connection: _Connection, rest: str) -> tuple[list, str]:
+        await self._work()
         if not self.leads or connection.transaction:
             raise Refused(f"READONLY {self.name}")
-        await self._work()
         item, data = rest.split(" ", 1)
         if connection.transaction is None:
             self._append(item, data)
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -11,6 +11,7 @@
 REGRESSIONS = {
     2: "the stand-in dropped what was on its way to a replica at a promotion",
     5: "the check held sessions to what other sessions had written",
+    9: "the stand-in let a primary commit what it had begun before its successor led",
 }
 
 
