Make a token only for callers that asked to be told it

The change that reports tokens formatted and summed one for every answer of the PostgreSQL interface before it looked at the caller's setting.

--- a/src/rosemaryridge/proxy/_caller_state.py
+++ b/src/rosemaryridge/proxy/_caller_state.py
@@ -38,8 +38,10 @@
 
     def unreported_token(self) -> str:
         """Return the token if the caller asked for it and has not been told it."""
+        if not self.options.report_token:
+            return ""
         token = self.session.token()
-        if not self.options.report_token or token == self.reported_token:
+        if token == self.reported_token:
             return ""
         self.reported_token = token
         return token
