Learn from a refusal in one place

What a refusal tells of its target and connection was written out in the end of plain statements, in transactions and in reads guarded by one, and the last lacked a part: a primary that had forgotten a prepared statement was sent its name again until the route's timeout, and the caller was told "busy". The test fails on the former code with that. A transaction's end had two names for one body.

--- a/src/rosemaryridge/core/_caller.py
+++ b/src/rosemaryridge/core/_caller.py
@@ -70,7 +70,7 @@
     def leave(self) -> None:
         """End what a caller that has left was doing."""
         if self._transaction is not None:
-            self._transaction.abandon()
+            self._transaction.roll_back()
             self._transaction = None
 
     async def _serve(self, statement: Statement) -> Answer:
@@ -113,7 +113,7 @@
     async def _roll_back(self, statement: Statement) -> Answer:
         transaction, self._transaction = self._transaction, None
         if transaction is not None:
-            await transaction.roll_back()
+            transaction.roll_back()
         return self._done()
 
     @_handles(Verb.READ, Verb.WRITE, Verb.EXECUTE)
--- a/src/rosemaryridge/core/_reader.py
+++ b/src/rosemaryridge/core/_reader.py
@@ -98,8 +98,7 @@
             raise StatementError(
                 Failure.TIMEOUT, f"{target.id} gave no answer in time"
             ) from None
-        if answer.failure is Failure.READ_ONLY:
-            group.deposed(target)
+        self._runner.learn(group, target, link, answer)
         self._runner.spawn(self._runner.roll_back(target, link))
         return answer.in_state(TransactionState.IDLE)
 
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -195,11 +195,15 @@
         pinned: bool = False,
     ) -> None:
         """Give a connection back and learn from a refusal."""
+        self.learn(group, target, link, answer)
+        self._give_back(target, link, answer, pinned)
+
+    def learn(self, group: Group, target: Target, link: Link, answer: Answer) -> None:
+        """Take in what a refusal tells of its target and connection."""
         if answer.failure is Failure.READ_ONLY:
             group.deposed(target)
         if answer.failure is Failure.UNKNOWN_STATEMENT:
             link.prepared.clear()
-        self._give_back(target, link, answer, pinned)
 
     def _give_back(
         self, target: Target, link: Link, answer: Answer, pinned: bool
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -79,13 +79,10 @@
         backoff = self._runner.backoff(deadline)
         while True:
             answer = await self._exchange(target, link, statement, deadline)
-            if answer.failure is Failure.READ_ONLY:
-                self._group.deposed(target)
+            self._runner.learn(self._group, target, link, answer)
             again = answer.failure in NOT_RUN
             if not again or answer.state is not TransactionState.OPEN:
                 return answer
-            if answer.failure is Failure.UNKNOWN_STATEMENT:
-                link.prepared.clear()
             await backoff.pause(answer.detail)
 
     async def _exchange(
@@ -107,7 +104,7 @@
         """Return COMMIT's answer; raise StatementError."""
         self._caller_came()
         if self.failed:
-            await self.roll_back()
+            self.roll_back()
             raise StatementError(Failure.ABORTED, "the transaction had failed", 0.1)
         deadline = self._loop.time() + self._route.timeout_s
         try:
@@ -155,16 +152,11 @@
                 Failure.UNKNOWN_OUTCOME, f"{target.id} at COMMIT: {reason}"
             ) from None
 
-    async def roll_back(self) -> None:
+    def roll_back(self) -> None:
         """End the transaction without a change."""
         self._caller_came()
         self._end()
 
-    def abandon(self) -> None:
-        """End the transaction of a caller that has left."""
-        self._caller_came()
-        self._end()
-
     def _end(self) -> None:
         self._ended = True
         if not self._opening.done():
--- a/src/rosemaryridge_testbed/site/_target.py
+++ b/src/rosemaryridge_testbed/site/_target.py
@@ -113,6 +113,7 @@
         self._slots = asyncio.Semaphore(slots)
         self._waiting = 0
         self._writers: set[asyncio.StreamWriter] = set()
+        self._connections: list[_Connection] = []
         self._server: asyncio.Server | None = None
         self._port = 0
         self._report = report
@@ -146,6 +147,11 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def forget_statements(self) -> None:
+        """Forget every prepared statement, on connections that stay open."""
+        for connection in self._connections:
+            connection.prepared.clear()
+
     def position(self) -> str:
         """Return the position of the applied log."""
         if not self.applied:
@@ -185,6 +191,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = _Connection()
+        self._connections.append(connection)
         while True:
             line = await _line(reader)
             if self.fault == "mute":
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -135,6 +135,15 @@
         }
         self.assertEqual(seen, {("data", "one"), ("k", "other")})
 
+    async def test_a_statement_that_targets_forgot_is_prepared_again(self):
+        for kind in ("orders", "own"):
+            client = await self.client(f"books-{kind}")
+            await client.ask("PREPARE s1 READ q1")
+            self.assertEqual((await client.ask("EXECUTE s1 k")).code, "")
+            for number in range(3):
+                self.target(number).forget_statements()
+            self.assertEqual((await client.ask("EXECUTE s1 k")).code, "", kind)
+
     async def test_own_statements_carry_no_callers_id(self):
         client = await self.client("books-orders")
         await client.ask("SET v one")
