Hold the number of proxies and the reading of a claim once

The failover kept its own count of proxies beside the one that divides connections, and read a claim back in a second way after a lost answer; the census counted renewals only to know that there had been one, which the time of the last tells; the store's ping had its own word for the kind of configurations. The order's log line and the lags of a group's targets are functions, so that a replacement reads from top to bottom. Behaviour as before.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -17,6 +17,7 @@
 from rosemaryridge.core import Peer
 from rosemaryridge.core import Peers
 from rosemaryridge.core import Proxy
+from rosemaryridge.core import Shares
 from rosemaryridge.core import TargetInfo
 from rosemaryridge.exceptions import SettingsError
 from rosemaryridge.exceptions import StoreError
@@ -72,9 +73,17 @@
         rng = random.Random()
         self._store = Store(cfg.store)
         self._orders = Promotions(cfg.promotions, cfg.vm)
-        self._failover = Failover(cfg.vm, self._store, self._orders, self._log, rng)
+        shares = Shares()
+        self._failover = Failover(
+            cfg.vm, self._store, self._orders, shares, self._log, rng
+        )
         self._proxy = Proxy(
-            cfg.failure_domain, target.connect, rng, self._log, self._failover.trouble
+            cfg.failure_domain,
+            target.connect,
+            rng,
+            self._log,
+            self._failover.trouble,
+            shares,
         )
         self._peers = Peers(
             cfg.vm, cfg.failure_domain, self._proxy.directory.groups, self._log
@@ -270,7 +279,6 @@
 
     def _listed(self, entries: dict[str, t.Any]) -> None:
         self._proxy.set_proxies(max(1, len(entries)))
-        self._failover.proxies = max(1, len(entries))
         peers = (self._peer(vm, spec) for vm, spec in entries.items())
         self._peers.set_peers([peer for peer in peers if peer is not None])
 
--- a/src/rosemaryridge/core/__init__.py
+++ b/src/rosemaryridge/core/__init__.py
@@ -17,6 +17,7 @@
 from rosemaryridge.core._peers import Peer
 from rosemaryridge.core._peers import Peers
 from rosemaryridge.core._proxy import Proxy
+from rosemaryridge.core._shares import Shares
 from rosemaryridge.core._statement import NOT_RUN
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
@@ -46,6 +47,7 @@
     "Peers",
     "PrimaryHistory",
     "Proxy",
+    "Shares",
     "Route",
     "Statement",
     "StatementError",
--- a/src/rosemaryridge/core/_census.py
+++ b/src/rosemaryridge/core/_census.py
@@ -68,7 +68,6 @@
         self._rng = rng
         self._live = LiveEntries()
         self._renewed_at = float("-inf")
-        self._renewals = 0
         self._counts = 0
 
     async def run(self) -> None:
@@ -102,7 +101,6 @@
         try:
             await self._store.put(PROXIES_KIND, self._vm, spec, 0)
         except StoreConflict:
-            if self._renewals:
+            if self._renewed_at > float("-inf"):
                 stored = await self._store.get(PROXIES_KIND, self._vm)
                 await self._store.put(PROXIES_KIND, self._vm, spec, stored.revision)
-        self._renewals += 1
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -11,6 +11,7 @@
 from rosemaryridge.core._pool import NO_SLOT
 from rosemaryridge.core._pool import PoolClosed
 from rosemaryridge.core._pool import TurnTooLate
+from rosemaryridge.core._shares import Shares
 from rosemaryridge.core._statement import TargetCondition
 from rosemaryridge.core._statement import TargetLost
 from rosemaryridge.core._successor import PLANNED
@@ -79,14 +80,14 @@
         vm: str,
         store: ClaimStore,
         orders: PromotionOrders,
+        shares: Shares,
         log: EventLog,
         rng: random.Random,
     ):
-        # Among how many proxies the watch over the groups is shared.
-        self.proxies = 1
         self._vm = vm
         self._store = store
         self._orders = orders
+        self._shares = shares
         self._log = log
         self._rng = rng
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -104,7 +105,9 @@
     async def _handle(self, group: Group) -> None:
         loop = asyncio.get_running_loop()
         since = loop.time()
-        await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S * self.proxies))
+        # Before the proxies are counted this one acts as if it were alone.
+        proxies = max(1, self._shares.proxies)
+        await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S * proxies))
         while not self.stopping:
             reason = reason_to_replace(group, loop.time())
             if reason is None:
@@ -113,9 +116,8 @@
             if reason is Reason.NONE and waited_s < _LEADERLESS_S:
                 await asyncio.sleep(_POLL_S)
                 continue
-            alone = loop.time() - since > _ALONE_S
             try:
-                if await self._replace(group, reason, alone):
+                if await self._replace(group, reason, waited_s > _ALONE_S):
                     return
             except StoreError as exc:
                 self._note(group, reason, f"the platform failed: {exc}")
@@ -135,8 +137,7 @@
         if not conditions or old is not group.lead:
             return False
         if reason is Reason.OVERLOADED and not all_lag(conditions):
-            lags = {name: round(one.lag_s, 2) for name, one in conditions.items()}
-            self._note(group, reason, f"a replica keeps up: {lags}")
+            self._note(group, reason, f"a replica keeps up: {_lags(conditions)}")
             group.replicas_keep_up()
             return True
         verdict = choose_successor(group, claim, conditions, alone)
@@ -159,6 +160,21 @@
         )
         if not await self._claim(group, own, revision):
             return False
+        self._log_order(group, reason, own, conditions)
+        successor = verdict.target
+        if old is not None and reason in PLANNED:
+            successor = await self._hand_over(group, old, successor, own.term)
+            if successor is None:
+                return True
+        return await self._promote(group, successor, own.fence)
+
+    def _log_order(
+        self,
+        group: Group,
+        reason: Reason,
+        own: Claim,
+        conditions: t.Mapping[str, TargetCondition],
+    ) -> None:
         self._log.write(
             "promotion_ordered",
             service=group.service,
@@ -168,14 +184,8 @@
             target=own.target,
             fence=own.fence,
             received={name: str(one.received) for name, one in conditions.items()},
-            lag_s={name: round(one.lag_s, 2) for name, one in conditions.items()},
+            lag_s=_lags(conditions),
         )
-        successor = verdict.target
-        if old is not None and reason in PLANNED:
-            successor = await self._hand_over(group, old, successor, own.term)
-            if successor is None:
-                return True
-        return await self._promote(group, successor, own.fence)
 
     async def _hand_over(
         self, group: Group, old: Target, successor: Target, term: int
@@ -262,10 +272,9 @@
             return False
         except StoreUnavailable:
             # The write may have been made; only what is stored tells.
-            stored = await self._store.get(CLAIMS_KIND, group.service)
-            if Claim.decode(stored.spec) != own:
+            stored, revision = await self._read_claim(group)
+            if stored != own:
                 return False
-            revision = stored.revision
         self._seen[group.service] = (revision, asyncio.get_running_loop().time())
         return True
 
@@ -312,3 +321,7 @@
             term=group.term,
             why=text,
         )
+
+
+def _lags(conditions: t.Mapping[str, TargetCondition]) -> dict[str, float]:
+    return {name: round(one.lag_s, 2) for name, one in conditions.items()}
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -42,12 +42,13 @@
         rng: random.Random,
         log: EventLog,
         on_trouble: t.Callable[[Group], None],
+        shares: Shares,
     ):
         self.log = log
         self.tally = Tally()
         self.tally.gauges(self._gauges)
         self.config = ConfigHolder()
-        self.shares = Shares()
+        self.shares = shares
         self.directory = Directory(connect, log, on_trouble, self.shares, rng)
         self.runner = Runner(rng, PreparedNames(), log, self.tally)
         self.reader = Reader(self.runner, failure_domain, rng)
--- a/src/rosemaryridge/platform/store.py
+++ b/src/rosemaryridge/platform/store.py
@@ -10,6 +10,7 @@
 from rosemaryridge.exceptions import StoreRefused
 from rosemaryridge.exceptions import StoreUnavailable
 from rosemaryridge.model import Endpoint
+from rosemaryridge.platform.documents import CONFIG_KIND
 from rosemaryridge.platform.documents import decode_body
 from rosemaryridge.platform.http import HttpAnswer
 from rosemaryridge.platform.http import HttpClient
@@ -22,7 +23,7 @@
 _WATCH_SLACK_S = 2.0
 _RETRY_AFTER_S = 0.5
 # No object has this name, so that the answer is short.
-_PING_KIND, _PING_NAME = "config", "ping"
+_PING_NAME = "ping"
 
 
 class StoredObject(t.NamedTuple):
@@ -81,7 +82,7 @@
 
     async def ping(self) -> None:
         """Return if the store answers; cheaper than any other call."""
-        await self.get(_PING_KIND, _PING_NAME, stale=True)
+        await self.get(CONFIG_KIND, _PING_NAME, stale=True)
 
     async def watch(
         self, kind: str, revision: int, wait_s: float
