--- a/src/rosemaryridge_testbed/site/_target.py
+++ b/src/rosemaryridge_testbed/site/_target.py
@@ -6,6 +6,8 @@
 import typing as t
 
 _QUEUE = 24
+# A target that ignores what a read needs shows it where it lags.
+_STALE_LAG_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -361,12 +363,12 @@
 
     def apply_later(self) -> None:
         """Apply all that was received, after the lag in force."""
-        if not self.apply_lag_s:
+        lag_s = max(self.apply_lag_s, _STALE_LAG_S if self.plant == "stale" else 0.0)
+        if not lag_s:
             self.applied = len(self.log)
         elif self.log:
             loop = asyncio.get_running_loop()
-            last = self.log[-1]
-            loop.call_later(self.apply_lag_s, self._apply, last, len(self.log))
+            loop.call_later(lag_s, self._apply, self.log[-1], len(self.log))
 
     def _apply(self, last: Commit, length: int) -> None:
         if len(self.log) >= length and self.log[length - 1] is last:
