--- a/src/rosemaryridge_testbed/site/__init__.py
+++ b/src/rosemaryridge_testbed/site/__init__.py
@@ -1,10 +1,10 @@
 """Stand in for the users' platform: its store, its targets and its orders."""
 
 from rosemaryridge_testbed.site._client import Client
+from rosemaryridge_testbed.site._client import Reply
 from rosemaryridge_testbed.site._site import Site
 from rosemaryridge_testbed.site._site import SiteOptions
-from rosemaryridge_testbed.site._site import until
 from rosemaryridge_testbed.site._store import MetadataStore
 from rosemaryridge_testbed.site._target import SiteTarget
 
-__all__ = ["Client", "MetadataStore", "Site", "SiteOptions", "SiteTarget", "until"]
+__all__ = ["Client", "MetadataStore", "Reply", "Site", "SiteOptions", "SiteTarget"]
--- a/src/rosemaryridge_testbed/site/_client.py
+++ b/src/rosemaryridge_testbed/site/_client.py
@@ -4,7 +4,13 @@
 import itertools
 import typing as t
 
+from rosemaryridge.model import Outcome
+
 _TIMEOUT_S = 5.0
+# Answers which promise that nothing of the statement is kept.
+_NOT_RUN = frozenset(
+    {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
+)
 
 
 class Reply(t.NamedTuple):
@@ -20,6 +26,13 @@
         """Return the word of a failure, empty on success."""
         return self.error.partition(" ")[0]
 
+    @property
+    def outcome(self) -> Outcome:
+        """Return what a failure promises; other failures promise nothing."""
+        if not self.code:
+            return Outcome.DONE
+        return Outcome.NOT_RUN if self.code in _NOT_RUN else Outcome.UNKNOWN
+
 
 class Client:
     """Hold one session."""
--- a/src/rosemaryridge_testbed/site/_site.py
+++ b/src/rosemaryridge_testbed/site/_site.py
@@ -4,7 +4,6 @@
 import dataclasses
 import json
 import pathlib
-import time
 import typing as t
 
 from aiohttp import web
@@ -177,12 +176,3 @@
             "retry_attempts": 2,
             "max_staleness_ms": self.options.max_staleness_ms,
         }
-
-
-async def until(condition: t.Callable[[], t.Any], timeout_s: float = 5.0) -> None:
-    """Wait until something holds; raise TimeoutError."""
-    end = time.monotonic() + timeout_s
-    while not condition():
-        if time.monotonic() > end:
-            raise TimeoutError("the condition does not hold")
-        await asyncio.sleep(0.01)
--- a/src/rosemaryridge_testbed/soak/_callers.py
+++ b/src/rosemaryridge_testbed/soak/_callers.py
@@ -5,10 +5,11 @@
 import time
 import typing as t
 
+from rosemaryridge.model import Outcome
 from rosemaryridge_testbed.site import Client
+from rosemaryridge_testbed.site import Reply
 from rosemaryridge_testbed.site import Site
 from rosemaryridge_testbed.site._site import ROUTES
-from rosemaryridge_testbed.soak._ledger import NOT_RUN
 from rosemaryridge_testbed.soak._ledger import Ledger
 from rosemaryridge_testbed.soak._ledger import Read
 
@@ -17,7 +18,6 @@
 _ROAM_SHARE = 0.1
 _PAUSE_S = 0.02
 _LOST = (OSError, asyncio.IncompleteReadError, TimeoutError)
-_IN_DOUBT = "INDOUBT"
 
 
 class Caller:
@@ -80,15 +80,15 @@
         self._written += 1
         data = f"{self._item}.{self._written}"
         # Until an answer tells more, nothing is known of the write.
-        code = _IN_DOUBT
+        outcome = Outcome.UNKNOWN
         try:
-            code = await self._send(client, data)
+            outcome = await self._send(client, data)
         finally:
-            self._ledger.wrote(self._item, data, code, time.monotonic())
-        if not code:
+            self._ledger.wrote(self._item, data, outcome, time.monotonic())
+        if outcome is Outcome.DONE:
             self._own[kind] = data
 
-    async def _send(self, client: Client, data: str) -> str:
+    async def _send(self, client: Client, data: str) -> Outcome:
         text = f"WRITE {self._item} {data}"
         if self._rng.random() >= _TRANSACTION_SHARE:
             return self._signed(await client.ask(text))
@@ -96,7 +96,8 @@
             reply = await client.ask(one)
             if reply.code:
                 await client.ask("ROLLBACK")
-                return reply.code if reply.code in NOT_RUN else "ABORTED"
+                # Without COMMIT nothing is kept.
+                return Outcome.NOT_RUN
         return self._signed(await client.ask("COMMIT"))
 
     async def _read(self, kind: str) -> None:
@@ -110,7 +111,7 @@
         before = time.monotonic() - bound_s
         least = self._ledger.newest(item, before, rolled_back)
         reply = await client.ask(f"READ {item}")
-        if not self._signed(reply):
+        if self._signed(reply) is Outcome.DONE:
             self._note(kind, reply.rows[0], least)
             if own:
                 self._note("session", reply.rows[0], self._own.get(kind, ""))
@@ -118,7 +119,8 @@
     def _note(self, kind: str, data: str, least: str) -> None:
         self._ledger.reads.append(Read(data, least, kind, time.time()))
 
-    def _signed(self, reply: t.Any) -> str:
-        if not reply.code and reply.signature in ("", "-"):
+    def _signed(self, reply: Reply) -> Outcome:
+        """Return an answer's outcome; count a success without a signature."""
+        if reply.outcome is Outcome.DONE and reply.signature in ("", "-"):
             self._ledger.unsigned += 1
-        return reply.code
+        return reply.outcome
--- a/src/rosemaryridge_testbed/soak/_ledger.py
+++ b/src/rosemaryridge_testbed/soak/_ledger.py
@@ -5,10 +5,7 @@
 import enum
 import typing as t
 
-# Answers which say that nothing of the statement is kept.
-NOT_RUN = frozenset(
-    {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
-)
+from rosemaryridge.model import Outcome
 
 
 class Rule(enum.Enum):
@@ -47,11 +44,11 @@
         """Return how many writes were acknowledged."""
         return sum(map(len, self._acknowledged.values()))
 
-    def wrote(self, item: str, data: str, code: str, now: float) -> None:
-        """Take in a write's outcome; an empty code is a success."""
-        if not code:
+    def wrote(self, item: str, data: str, outcome: Outcome, now: float) -> None:
+        """Take in a write's outcome."""
+        if outcome is Outcome.DONE:
             self._acknowledged.setdefault(item, []).append((now, data))
-        elif code in NOT_RUN:
+        elif outcome is Outcome.NOT_RUN:
             self._refused.add(data)
 
     def newest(self, item: str, before: float, rolled_back: t.Container[str]) -> str:
--- a/src/rosemaryridge_testbed/soak/_soak.py
+++ b/src/rosemaryridge_testbed/soak/_soak.py
@@ -12,6 +12,7 @@
 import typing as t
 
 from rosemaryridge_testbed.fleet import Processes
+from rosemaryridge_testbed.fleet import eventually
 from rosemaryridge_testbed.fleet import free_ports
 from rosemaryridge_testbed.link import Channel
 from rosemaryridge_testbed.link import Link
@@ -125,10 +126,14 @@
 
     async def ended(self, name: str) -> None:
         """Wait until a stopped program has ended; raise TimeoutError."""
-        async with asyncio.timeout(_END_S):
-            # Another fault may have started it again already.
-            while name in self._down and self._processes.exit_status(name) is None:
-                await asyncio.sleep(0.05)
+        # Another fault may have started it again already.
+        await eventually(
+            lambda: (
+                name not in self._down or self._processes.exit_status(name) is not None
+            ),
+            _END_S,
+            f"end of {name}",
+        )
 
     def restart(self, name: str) -> None:
         """Start a program again that has ended."""
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -9,11 +9,11 @@
 from rosemaryridge.cli.entry import Entry
 from rosemaryridge.core import EventLog
 from rosemaryridge.platform.settings import load_settings
+from rosemaryridge_testbed.fleet import eventually
 from rosemaryridge_testbed.fleet import free_ports
 from rosemaryridge_testbed.site import Client
 from rosemaryridge_testbed.site import Site
 from rosemaryridge_testbed.site import SiteOptions
-from rosemaryridge_testbed.site import until
 
 
 class SiteCase(unittest.IsolatedAsyncioTestCase):
@@ -65,6 +65,9 @@
         self.addCleanup(client.close)
         return client
 
+    async def until(self, condition):
+        await eventually(condition, 5.0)
+
     @property
     def group(self):
         return self.site.groups["books"]
@@ -166,7 +169,7 @@
             await self.client("nothing")
         self.assertIn("NODB", str(caught.exception))
         self.site.publish(2, without=("books-own",))
-        await until(lambda: '"version": 2' in self.events())
+        await self.until(lambda: '"version": 2' in self.events())
         self.assertEqual((await client.ask("READ k")).code, "NODB")
         self.site.publish(1)
         await asyncio.sleep(0.1)
@@ -297,10 +300,10 @@
         client = await self.client("books-orders")
         kept = []
         writing = asyncio.create_task(self.write_on(client, kept))
-        await until(lambda: len(kept) > 20)
+        await self.until(lambda: len(kept) > 20)
         self.target(0).draining = True
         self.site.register(self.target(0))
-        await until(lambda: self.group.primary not in ("books-0", ""))
+        await self.until(lambda: self.group.primary not in ("books-0", ""))
         writing.cancel()
         lead = self.group.targets[self.group.primary]
         self.assertLessEqual(set(kept), {commit.data for commit in lead.log})
@@ -439,7 +442,7 @@
         for number in range(3):
             self.target(number).fault = "mute"
         self.assertEqual((await client.ask("WRITE k d")).code, "INDOUBT")
-        await until(lambda: '"event": "isolated"' in self.events())
+        await self.until(lambda: '"event": "isolated"' in self.events())
         status, _ = self.entries[0]._readiness()
         self.assertEqual(status, 503)
         self.assertEqual((await client.ask("WRITE k d")).code, "BUSY")
@@ -452,14 +455,14 @@
     async def test_a_lost_history_is_listed_anew(self):
         self.site.store.compact()
         self.site.publish(5)
-        await until(lambda: '"version": 5' in self.events())
+        await self.until(lambda: '"version": 5' in self.events())
 
     async def test_a_change_that_no_watch_heard_is_found_after_the_cut(self):
         # The bench's compaction on suva-fra scale-1 broke CONFIG this way.
         self.site.store.deaf = True
         self.site.publish(6)
         self.site.store.cut_watches()
-        await until(lambda: '"version": 6' in self.events())
+        await self.until(lambda: '"version": 6' in self.events())
 
     async def test_an_outage_keeps_what_is_known(self):
         client = await self.client()
@@ -469,12 +472,12 @@
         self.assertEqual((await client.ask("WRITE k d")).code, "")
         self.site.store.fault = ""
         self.site.publish(9)
-        await until(lambda: '"version": 9' in self.events())
+        await self.until(lambda: '"version": 9' in self.events())
 
     async def test_an_unreadable_entry_harms_no_other(self):
         self.site.store.write("servers", "odd", {"service": 3})
         self.site.store.write("servers", "worse", "text")
-        await until(lambda: self.events().count("target_unreadable") == 2)
+        await self.until(lambda: self.events().count("target_unreadable") == 2)
         client = await self.client()
         self.assertEqual((await client.ask("WRITE k d")).code, "")
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from rosemaryridge.model import Outcome
 from rosemaryridge_testbed.soak import Ledger
 from rosemaryridge_testbed.soak import Rule
 from rosemaryridge_testbed.soak._ledger import Read
@@ -10,8 +11,9 @@
 class TestLedger(unittest.TestCase):
     def setUp(self):
         self.ledger = Ledger()
-        for number, code in ((1, ""), (2, "BUSY"), (3, "INDOUBT"), (4, "")):
-            self.ledger.wrote("k", f"k.{number}", code, float(number))
+        done, not_run, unknown = Outcome.DONE, Outcome.NOT_RUN, Outcome.UNKNOWN
+        for number, outcome in enumerate((done, not_run, unknown, done), 1):
+            self.ledger.wrote("k", f"k.{number}", outcome, float(number))
 
     def judge(self, log, rolled_back=()):
         return dict(self.ledger.judge(log, rolled_back))
