--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -214,6 +214,9 @@
         yield "callers", (), len(self._callers.connections)
         yield "store_calls", (), self._store.calls
         yield "store_unreachable_seconds", (), self._mirrors[0].unreachable_s()
+        for mirror in self._mirrors:
+            kind = (("kind", mirror.kind),)
+            yield "store_unanswered_seconds", kind, mirror.unanswered_s()
         yield "isolated", (), self._isolated
         yield "store_era", (), self._era.current or 0
 
--- a/src/rosemaryridge/core/_store_mirror.py
+++ b/src/rosemaryridge/core/_store_mirror.py
@@ -4,6 +4,7 @@
 import random
 import typing as t
 
+from rosemaryridge.core._boottime import boottime
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._store_era import StoreEra
 from rosemaryridge.exceptions import StoreError
@@ -108,7 +109,7 @@
         self.reachable = False
         self.reachability_changed_at = asyncio.get_running_loop().time()
         self._store = store
-        self._kind = kind
+        self.kind = kind
         self._on_list = on_list
         self._on_change = on_change
         self._log = log
@@ -122,6 +123,8 @@
             era.subscribe(self._on_new_era)
         self._watch_delay = WatchDelay(max_watch_delay_s)
         self._retry_s = _RETRY_MIN_S
+        # When the last answered call was sent, on the clock of `boottime`.
+        self._answered_at = boottime()
 
     async def run(self) -> None:
         """Mirror the objects until cancelled."""
@@ -129,7 +132,7 @@
             try:
                 await self._sync()
             except StoreHistoryGone as exc:
-                self._log.write("store_history_gone", kind=self._kind, reason=str(exc))
+                self._log.write("store_history_gone", kind=self.kind, reason=str(exc))
                 self._revision = None
             except StoreError as exc:
                 # Changes during an interrupted watch may be lost, and the next watch
@@ -139,7 +142,7 @@
                 await self._on_failure(exc)
             except Exception as exc:
                 # One object that cannot be handled must not end the process.
-                self._log.write("mirror_failed", kind=self._kind, reason=repr(exc))
+                self._log.write("mirror_failed", kind=self.kind, reason=repr(exc))
                 self._revision = None
                 await asyncio.sleep(_RETRY_MAX_S)
             else:
@@ -150,14 +153,18 @@
             await self._store.ping()
             self._must_ping = False
         if self._revision is None:
-            listing = await self._store.list(self._kind)
+            sent_at = boottime()
+            listing = await self._store.list(self.kind)
+            self._answered_at = sent_at
             self._revision = listing.revision
             self._on_list(listing.objects)
             return
+        sent_at = boottime()
         answer = await self._watch(self._revision)
         if answer is None or self._revision is None:
             # The store has come back from a copy: its revisions count anew.
             return
+        self._answered_at = sent_at
         changes, revision = answer
         self._revision = revision
         for change in changes:
@@ -165,13 +172,13 @@
         if not changes:
             return
         # Changes come in bursts; the delay lets one call return all of a burst.
-        await asyncio.sleep(self._watch_delay.next_s(asyncio.get_running_loop().time()))
+        await asyncio.sleep(self._watch_delay.next_s(self._now()))
 
     async def _watch(self, revision: int) -> t.Any:
         """Return the store's answer to a watch, None if a new era ended it."""
         loop = asyncio.get_running_loop()
         task = self._watch_task = loop.create_task(
-            self._store.watch(self._kind, revision, _WATCH_WAIT_S)
+            self._store.watch(self.kind, revision, _WATCH_WAIT_S)
         )
         try:
             await asyncio.wait([task])
@@ -186,29 +193,44 @@
         self._revision = None
         if self._watch_task is not None:
             self._watch_task.cancel()
-        return f"revisions of {self._kind}"
+        return f"revisions of {self.kind}"
 
     def _on_success(self) -> None:
         self._gate.record_success(self)
         self._retry_s = _RETRY_MIN_S
         if not self.reachable:
             self._set_reachable(True)
-            self._log.write("store_reached", kind=self._kind, revision=self._revision)
+            self._log.write("store_reached", kind=self.kind, revision=self._revision)
 
     def _set_reachable(self, reachable: bool) -> None:
         self.reachable = reachable
-        self.reachability_changed_at = asyncio.get_running_loop().time()
+        self.reachability_changed_at = self._now()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def unanswered_s(self) -> float:
+        """Return the time since the last answered call was sent, in seconds.
+
+        A change that is older has been reported; a newer one may be missing.
+        """
+        return boottime() - self._answered_at
 
     def unreachable_s(self) -> float:
         """Return how long the store has been unreachable, in seconds."""
         if self.reachable:
             return 0.0
-        return asyncio.get_running_loop().time() - self.reachability_changed_at
+        return self._now() - self.reachability_changed_at
 
     async def _on_failure(self, exc: StoreError) -> None:
         if self.reachable:
             self._set_reachable(False)
-            self._log.write("store_lost", kind=self._kind, reason=str(exc))
+            self._log.write(
+                "store_lost",
+                kind=self.kind,
+                unanswered_s=round(self.unanswered_s(), 1),
+                reason=str(exc),
+            )
         delay_s = self._retry_s
         if isinstance(exc, StoreLimited):
             delay_s = max(delay_s, exc.retry_after_s)
