--- a/src/rosemaryridge_testbed/site/_store.py
+++ b/src/rosemaryridge_testbed/site/_store.py
@@ -39,6 +39,7 @@
         # Whether changes stay out of the history that watches read.
         self.hide_changes = False
         self._watch_requests: dict[int, web.Request] = {}
+        self._silent: set[int] = set()
         self._changed: asyncio.Event = asyncio.Event()
         # How often the store has come back from a copy; None names no era.
         self.era: int | None = None
@@ -106,6 +107,10 @@
             if request.transport is not None:
                 request.transport.abort()
 
+    def silence_watches(self) -> None:
+        """Never answer the waiting watches; their connections stay open."""
+        self._silent.update(self._watch_requests)
+
     def _record(self, kind: str, item: Json, deleted: bool) -> None:
         if self.hide_changes:
             return
@@ -142,9 +147,13 @@
         if "watch" in request.query:
             self._watch_requests[id(request)] = request
             try:
-                return await self._watch(kind, request)
+                response = await self._watch(kind, request)
+                if id(request) in self._silent:
+                    await asyncio.sleep(3600.0)
+                return response
             finally:
                 del self._watch_requests[id(request)]
+                self._silent.discard(id(request))
         after = request.query.get("after", "")
         found = sorted(self.objects.get(kind, {}).items())
         items = [item for name, item in found if name > after]
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -685,6 +685,64 @@
         self.assertIn("cut off", line)
 
 
+# Bounds of the strictest deployment: after this long without a fault, each change that
+# was confirmed 3 s ago must be in force.
+STABLE_S = 5.0
+CONFIG_IN_FORCE_S = 3.0
+# A draining target must get no new work this long after its report was confirmed.
+DRAIN_S = 7.0
+
+
+class SilentStoreTest(SiteCase):
+    async def check_in_force(self, confirmed_at, fault_ended_at):
+        """Check that a route is gone as soon as its removal must be in force."""
+        due = max(confirmed_at + CONFIG_IN_FORCE_S, fault_ended_at + STABLE_S)
+        await asyncio.sleep(due - asyncio.get_running_loop().time())
+        for proxy in range(self.proxies):
+            with (
+                self.subTest(proxy=proxy),
+                self.assertRaisesRegex(ConnectionRefusedError, "NODB"),
+            ):
+                await self.client("books-orders", proxy)
+
+    async def test_a_change_is_in_force_after_the_store_was_silent(self):
+        # Incident inc1 on suva-fra: watches sent during a silence of 6.5 s.
+        loop = asyncio.get_running_loop()
+        self.site.publish(2)
+        await self.until(lambda: '"version": 2' in self.events())
+        self.site.store.fault = "silent"
+        await asyncio.sleep(2.0)
+        self.site.store.fault = ""
+        self.site.publish(3, without=("books-orders",))
+        await self.check_in_force(loop.time(), loop.time())
+
+    async def test_a_change_is_in_force_after_open_watches_fell_silent(self):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(1.5)
+        self.site.store.silence_watches()
+        silenced_at = loop.time()
+        await asyncio.sleep(1.0)
+        self.site.publish(2, without=("books-orders",))
+        await self.check_in_force(loop.time(), silenced_at)
+
+    async def test_a_draining_target_is_known_after_open_watches_fell_silent(self):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(3.5)
+        self.site.store.silence_watches()
+        due = loop.time() + max(STABLE_S, DRAIN_S)
+        target = self.target(1)
+        target.draining = True
+        self.site.register(target)
+        await asyncio.sleep(due - loop.time())
+        for entry in self.entries:
+            known = entry._proxy.directory.groups["books"].targets[target.name]
+            self.assertTrue(known.info.draining)
+
+
+class SilentStoreFleetTest(SilentStoreTest):
+    proxies = 4
+
+
 class StoreTest(SiteCase):
     async def test_objects_are_listed_again_after_a_compaction(self):
         self.site.store.compact()
