--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -216,7 +216,7 @@
         yield "store_unreachable_seconds", (), self._mirrors[0].unreachable_s()
         for mirror in self._mirrors:
             kind = (("kind", mirror.kind),)
-            yield "store_unanswered_seconds", kind, mirror.unanswered_s()
+            yield "store_mirror_age_seconds", kind, mirror.age_s()
         yield "isolated", (), self._isolated
         yield "store_era", (), self._era.current or 0
 
--- a/src/rosemaryridge/core/_store_mirror.py
+++ b/src/rosemaryridge/core/_store_mirror.py
@@ -123,8 +123,8 @@
             era.subscribe(self._on_new_era)
         self._watch_delay = WatchDelay(max_watch_delay_s)
         self._retry_s = _RETRY_MIN_S
-        # When the last answered call was sent, on the clock of `boottime`.
-        self._answered_at = boottime()
+        # No change before this time is missing, on the clock of `boottime`.
+        self._current_at = boottime()
 
     async def run(self) -> None:
         """Mirror the objects until cancelled."""
@@ -155,7 +155,7 @@
         if self._revision is None:
             sent_at = boottime()
             listing = await self._store.list(self.kind)
-            self._answered_at = sent_at
+            self._current_at = sent_at
             self._revision = listing.revision
             self._on_list(listing.objects)
             return
@@ -164,7 +164,7 @@
         if answer is None or self._revision is None:
             # The store has come back from a copy: its revisions count anew.
             return
-        self._answered_at = sent_at
+        self._current_at = sent_at
         changes, revision = answer
         self._revision = revision
         for change in changes:
@@ -209,12 +209,9 @@
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
-    def unanswered_s(self) -> float:
-        """Return the time since the last answered call was sent, in seconds.
-
-        A change that is older has been reported; a newer one may be missing.
-        """
-        return boottime() - self._answered_at
+    def age_s(self) -> float:
+        """Return the age in seconds that a change can have without being reported."""
+        return boottime() - self._current_at
 
     def unreachable_s(self) -> float:
         """Return how long the store has been unreachable, in seconds."""
@@ -228,7 +225,7 @@
             self._log.write(
                 "store_lost",
                 kind=self.kind,
-                unanswered_s=round(self.unanswered_s(), 1),
+                age_s=round(self.age_s(), 1),
                 reason=str(exc),
             )
         delay_s = self._retry_s
