Renew watches that neither answers nor relays show to work (CONFIG)

Cause: the store was silent from 5.0 to 11.5 s. Each proxy had sent a watch into that silence; its connection stayed open and its answer never came. The mirror took that for 'no change' until its timeout of 32 s, although the store answered the same process on other connections from 11.9 s on. Class: absence of an answer taken as absence of change, on a connection that nothing shows to work. TCP keepalive shows that a machine is alive, not that an answer will come.

Evidence: calls by second, 32 s after each lost watch (5.03 to 37.03, -4.8 to 27.2); no store_lost, no config_adopted. Ruled out: a refused configuration, a mirror that waited behind another one's probe (no call, no line of either).

Fix: a mirror knows until when it misses no change. A watch waits long only while that is confirmed; at an age of 4.2 s it is renewed with a wait of 1 s, so that each answer proves the connection. Bounds: 5 s after a fault the change must be in force. One proxy of the fleet watches with short waits; two proxies of each failure domain compare their revisions with its, the others with theirs, by datagram. Weighed: short waits on every proxy cost about 25 calls a proxy and minute more, on 195 proxies several times all calls of today.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -12,6 +12,7 @@
 from rosemaryridge.core import ClaimCache
 from rosemaryridge.core import EventLog
 from rosemaryridge.core import Failover
+from rosemaryridge.core import MirrorMonitor
 from rosemaryridge.core import Peer
 from rosemaryridge.core import Peers
 from rosemaryridge.core import Proxy
@@ -139,6 +140,10 @@
                 self._era,
             ),
         )
+        self._mirror_monitor = MirrorMonitor(self._mirrors, self._era, rng)
+        self._mirror_monitor.request_from_relay = self._peers.request_mirrors
+        self._mirror_monitor.is_first_relay = self._peers.is_first_mirror_relay
+        self._peers.mirrors = self._mirror_monitor
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -156,7 +161,11 @@
         }
         store_tasks = [
             loop.create_task(source.run())
-            for source in (*self._mirrors, self._proxy_registry)
+            for source in (
+                *self._mirrors,
+                self._mirror_monitor,
+                self._proxy_registry,
+            )
         ]
         for task in store_tasks:
             task.add_done_callback(self._on_store_task_done)
--- /dev/null
+++ b/src/rosemaryridge/core/_mirror_monitor.py
@@ -0,0 +1,74 @@
+"""Confirm through relays that the mirrors of the store miss no change.
+
+One proxy of the fleet watches the store with short waits. Two proxies of each failure
+domain ask it for the revisions of the last changes, and the others ask one of these, so
+that the calls to the store do not grow with the number of proxies.
+"""
+
+import asyncio
+import random
+import typing as t
+
+from rosemaryridge.core._peer_messages import MirrorState
+from rosemaryridge.core._store_era import StoreEra
+from rosemaryridge.core._store_mirror import StoreMirror
+
+# Longest time between two requests to a relay. Ages add up over two relays, and one
+# lost datagram must not renew the watches.
+_PERIOD_S = 0.8
+
+
+class MirrorListing(t.NamedTuple):
+    """Hold a relay's mirrors by kind, when they were requested, and the store's era."""
+
+    mirrors: dict[str, MirrorState]
+    requested_at: float
+    era: int | None
+
+
+class MirrorMonitor:
+    """Confirm this proxy's mirrors by those of a relay, and pass their state on."""
+
+    def __init__(
+        self, mirrors: t.Sequence[StoreMirror], era: StoreEra, rng: random.Random
+    ):
+        # Requests the state of a relay's mirrors; None without peers.
+        self.request_from_relay: (
+            t.Callable[[], t.Awaitable[MirrorListing | None]] | None
+        ) = None
+        # Returns whether this proxy is the first relay of the fleet.
+        self.is_first_relay: t.Callable[[], bool] = lambda: False
+        self._mirrors = mirrors
+        self._era = era
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Confirm the mirrors periodically until cancelled."""
+        while True:
+            delay_s = _PERIOD_S * self._rng.uniform(0.8, 1.0)
+            until_renewal_s = min(mirror.until_renewal_s() for mirror in self._mirrors)
+            await asyncio.sleep(min(delay_s, until_renewal_s))
+            await self.check()
+
+    async def check(self) -> None:
+        """Confirm the mirrors once, and renew the watches of outdated ones."""
+        listing = None
+        if self.request_from_relay is not None:
+            listing = await self.request_from_relay()
+        if listing is not None and self._era.observe(listing.era):
+            for mirror in self._mirrors:
+                state = listing.mirrors.get(mirror.kind)
+                if state is not None:
+                    current_at = listing.requested_at - state.age_s
+                    mirror.confirm(state.changed_revision, current_at)
+        relays_to_all = self.is_first_relay()
+        for mirror in self._mirrors:
+            mirror.check(relays_to_all)
+
+    def states(self) -> tuple[dict[str, MirrorState], int | None]:
+        """Return the state of this proxy's mirrors by kind, and the store's era."""
+        states = {
+            mirror.kind: MirrorState(mirror.changed_revision, mirror.age_s())
+            for mirror in self._mirrors
+        }
+        return states, self._era.current
--- a/src/rosemaryridge/core/_peer_messages.py
+++ b/src/rosemaryridge/core/_peer_messages.py
@@ -50,41 +50,103 @@
     claims: dict[str, ClaimedTarget]
 
 
-Message = PositionRequest | PositionReply | ClaimsRequest | ClaimsReply
+@dataclasses.dataclass(frozen=True, slots=True)
+class MirrorState:
+    """Describe a relay's mirror of the objects of one kind in the store.
+
+    The relay has each change that the store accepted before the last `age_s` seconds;
+    none of them is after `changed_revision`.
+    """
+
+    changed_revision: int
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MirrorsRequest:
+    """Request the state of a relay's mirrors."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MirrorsReply:
+    """Reply with the state of the mirrors by kind, and the newest known era."""
+
+    number: int
+    era: int | None
+    mirrors: dict[str, MirrorState]
+
+
+Message = (
+    PositionRequest
+    | PositionReply
+    | ClaimsRequest
+    | ClaimsReply
+    | MirrorsRequest
+    | MirrorsReply
+)
+
+
+Decoder = t.Callable[..., Message]
+# By name, or by the number of fields for the types that are sent without a name.
+_DECODERS: dict[str | int, Decoder] = {}
+_NAMES: dict[type, str] = {MirrorsRequest: "get-mirrors", MirrorsReply: "mirrors"}
+
+
+def _decodes(key: str | int) -> t.Callable[[Decoder], Decoder]:
+    """Register the decoder of a type."""
+
+    def register(decoder: Decoder) -> Decoder:
+        _DECODERS[key] = decoder
+        return decoder
+
+    return register
 
 
 def encode(message: Message) -> bytes:
-    """Encode a message as a datagram; the number of its fields tells its type."""
+    """Encode a message as a datagram: its fields, after the name of its type if any."""
     fields = dataclasses.astuple(message)
     if isinstance(message, ClaimsReply):
         number, age_s, era, claims = fields
         fields = (number, age_s, {"era": era, "claims": claims})
-    return json.dumps(fields).encode()
+    name = _NAMES.get(type(message))
+    return json.dumps(fields if name is None else (name, *fields)).encode()
 
 
 def decode(data: bytes) -> Message:
     """Decode a datagram; raise ValueError or TypeError if it holds no message."""
     fields = json.loads(data)
-    decoder = _DECODERS.get(len(fields)) if isinstance(fields, list) else None
+    if not isinstance(fields, list) or not fields:
+        raise ValueError("expected a datagram with a list of fields")
+    if isinstance(fields[0], str):
+        key, fields = fields[0], fields[1:]
+    else:
+        key = len(fields)
+    decoder = _DECODERS.get(key)
     if decoder is None:
-        raise ValueError("expected a datagram with a list of 1 to 4 fields")
+        raise ValueError(f"unknown type of datagram: {key}")
     return decoder(*fields)
 
 
+@_decodes(2)
 def _decode_position_request(number: t.Any, service: t.Any) -> PositionRequest:
     return PositionRequest(int(number), str(service))
 
 
+@_decodes(4)
 def _decode_position_reply(
     number: t.Any, term: t.Any, lsn: t.Any, age_s: t.Any
 ) -> PositionReply:
     return PositionReply(int(number), int(term), int(lsn), _decode_age_s(age_s))
 
 
+@_decodes(1)
 def _decode_claims_request(number: t.Any) -> ClaimsRequest:
     return ClaimsRequest(int(number))
 
 
+@_decodes(3)
 def _decode_claims_reply(number: t.Any, age_s: t.Any, state: t.Any) -> ClaimsReply:
     if not isinstance(state, dict) or not isinstance(state.get("claims"), dict):
         raise ValueError("expected an object with the claims by service")
@@ -92,25 +154,36 @@
         service: ClaimedTarget(int(fence), int(term), str(target))
         for service, (fence, term, target) in state["claims"].items()
     }
-    era = state.get("era")
     return ClaimsReply(
         int(number),
         None if age_s is None else _decode_age_s(age_s),
-        None if era is None else int(era),
+        _decode_era(state.get("era")),
         claims,
     )
 
 
+@_decodes("get-mirrors")
+def _decode_mirrors_request(number: t.Any) -> MirrorsRequest:
+    return MirrorsRequest(int(number))
+
+
+@_decodes("mirrors")
+def _decode_mirrors_reply(number: t.Any, era: t.Any, mirrors: t.Any) -> MirrorsReply:
+    if not isinstance(mirrors, dict):
+        raise ValueError("expected an object with the mirrors by kind")
+    states = {
+        kind: MirrorState(int(changed_revision), _decode_age_s(age_s))
+        for kind, (changed_revision, age_s) in mirrors.items()
+    }
+    return MirrorsReply(int(number), _decode_era(era), states)
+
+
+def _decode_era(value: t.Any) -> int | None:
+    return None if value is None else int(value)
+
+
 def _decode_age_s(value: t.Any) -> float:
     age_s = float(value)
     if not age_s >= 0.0:
         raise ValueError(f"expected an age of 0 s or more, got {age_s}")
     return age_s
-
-
-_DECODERS: dict[int, t.Callable[..., Message]] = {
-    1: _decode_claims_request,
-    2: _decode_position_request,
-    3: _decode_claims_reply,
-    4: _decode_position_reply,
-}
--- a/src/rosemaryridge/core/_peers.py
+++ b/src/rosemaryridge/core/_peers.py
@@ -4,7 +4,8 @@
 The others ask a relay, so that neither the primary's connections nor the traffic
 between regions grow with the number of proxies. Likewise, two proxies of the fleet
 read the claims from the store, two of each failure domain ask one of these, and the
-others ask one of their failure domain.
+others ask one of their failure domain; so are the mirrors of the store confirmed
+(`MirrorMonitor`).
 """
 
 import asyncio
@@ -18,9 +19,13 @@
 from rosemaryridge.core._claims import ClaimListing
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._group import Group
+from rosemaryridge.core._mirror_monitor import MirrorListing
+from rosemaryridge.core._mirror_monitor import MirrorMonitor
 from rosemaryridge.core._peer_messages import ClaimsReply
 from rosemaryridge.core._peer_messages import ClaimsRequest
 from rosemaryridge.core._peer_messages import Message
+from rosemaryridge.core._peer_messages import MirrorsReply
+from rosemaryridge.core._peer_messages import MirrorsRequest
 from rosemaryridge.core._peer_messages import PositionReply
 from rosemaryridge.core._peer_messages import PositionRequest
 from rosemaryridge.core._peer_messages import decode
@@ -30,8 +35,9 @@
 
 # Relays of a group, or of the claims, in a failure domain; the second is a fallback.
 _RELAYS = 2
-# The subject of the relays of claims; no service has this name.
+# The subjects of the relays of claims and of mirrors; no service has these names.
 CLAIMS = "/claims"
+MIRRORS = "/mirrors"
 # A relay in the same failure domain answers within 1 ms, or after it has asked the
 # primary, 40 ms away.
 _REPLY_TIMEOUT_S = 0.15
@@ -59,8 +65,8 @@
     """Return the relays of a subject in a failure domain, the first preferred.
 
     Without a failure domain, return those of the fleet. The subject is a service, for
-    its positions, or `CLAIMS`. All proxies with the same list of peers compute the
-    same relays.
+    its positions, or `CLAIMS` or `MIRRORS`. All proxies with the same list of peers
+    compute the same relays.
     """
     eligible = [peer for peer in peers if failure_domain in (None, peer.failure_domain)]
     eligible.sort(key=lambda peer: zlib.crc32(f"{subject}/{peer.vm}".encode()))
@@ -86,6 +92,8 @@
         self._skipped_until: dict[str, float] = {}
         # The claims that this proxy relays; None where none are needed.
         self.claims: ClaimCache | None = None
+        # The mirrors whose state this proxy tells others.
+        self.mirrors: MirrorMonitor | None = None
         self._waiting: dict[int, asyncio.Future[t.Any]] = {}
         self._last_number = 0
         self._transport: asyncio.DatagramTransport | None = None
@@ -141,6 +149,23 @@
             return None
         return ClaimListing(reply.claims, sent_at - reply.age_s, reply.era)
 
+    async def request_mirrors(self) -> MirrorListing | None:
+        """Return the state of a relay's mirrors; None as for positions.
+
+        `requested_at` is the time of the request, which the ages are counted from.
+        """
+        sent_at = boottime()
+        reply = await self._request(MIRRORS, MirrorsRequest)
+        if reply is None:
+            return None
+        return MirrorListing(reply.mirrors, sent_at, reply.era)
+
+    def is_first_mirror_relay(self) -> bool:
+        """Return whether all other proxies rely on this one's mirrors."""
+        if len(self._peers) < _RELAYS:
+            return False
+        return choose_relays(MIRRORS, self._peers)[0].vm == self._vm
+
     async def _request(
         self,
         subject: str,
@@ -181,11 +206,13 @@
         """Return the relays to ask; none if this proxy is a relay itself."""
         nearby = choose_relays(subject, self._peers, self._failure_domain)
         is_relay = any(peer.vm == self._vm for peer in nearby)
-        if subject != CLAIMS:
+        if subject not in (CLAIMS, MIRRORS):
             return [] if is_relay else nearby
         fleet = choose_relays(subject, self._peers)
-        if any(peer.vm == self._vm for peer in fleet):
-            return []
+        names = [peer.vm for peer in fleet]
+        if self._vm in names:
+            # The second of the fleet has its mirrors confirmed by the first.
+            return fleet[: names.index(self._vm)] if subject == MIRRORS else []
         return fleet if is_relay else nearby
 
     def datagram_received(self, data: bytes, addr: tuple[t.Any, ...]) -> None:
@@ -201,6 +228,9 @@
         if isinstance(message, ClaimsRequest):
             self._spawn(self._reply_claims(message, addr))
             return
+        if isinstance(message, MirrorsRequest):
+            self._reply_mirrors(message, addr)
+            return
         fut = self._waiting.get(message.number)
         if fut is not None and not fut.done():
             fut.set_result(message)
@@ -222,6 +252,12 @@
             reply = ClaimsReply(request.number, age_s, era, claims)
             self._transport.sendto(encode(reply), addr)
 
+    def _reply_mirrors(self, request: MirrorsRequest, addr: tuple[t.Any, ...]) -> None:
+        if self.mirrors is None or self._transport is None:
+            return
+        states, era = self.mirrors.states()
+        self._transport.sendto(encode(MirrorsReply(request.number, era, states)), addr)
+
     async def _reply(self, request: PositionRequest, addr: tuple[t.Any, ...]) -> None:
         group = self._groups.get(request.service)
         if group is None:
--- a/src/rosemaryridge/core/_store_mirror.py
+++ b/src/rosemaryridge/core/_store_mirror.py
@@ -11,13 +11,23 @@
 from rosemaryridge.exceptions import StoreHistoryGone
 from rosemaryridge.exceptions import StoreLimited
 
-# The longest wait that the store allows; TCP keepalive detects a dead connection.
+# The longest wait that the store allows, for watches that relays confirm. A connection
+# may fall silent without an error, so that no answer does not mean no change.
 _WATCH_WAIT_S = 30.0
+# Wait of other watches: each answer proves that the connection works.
+_SHORT_WATCH_WAIT_S = 1.0
+# Age of a mirror at which its watch is renewed. Less than the 5 s after a fault from
+# when the strictest deployment requires new configurations to be in force.
+_MAX_AGE_S = 4.2
+# A watch that has waited for this long should have reported a change that is known.
+_WATCH_ANSWER_S = 1.0
 # A mirror that waits for another one's probe calls the store itself after this.
 _PROBE_WAIT_S = 5.0
 # Delay after a change until the next watch; a third of the 3 s within which the
 # strictest deployment requires a new configuration to be in force.
 _MIN_WATCH_DELAY_S = 1.0
+# The same while relays do not confirm the mirror; others may wait for this one.
+_SHORT_WATCH_DELAY_S = 0.25
 # Delays before a failed call is retried; changes made during an outage must be in force
 # within seconds of the store's return.
 _RETRY_MIN_S = 0.1
@@ -91,7 +101,10 @@
 
 
 class StoreMirror:
-    """Report all objects of a kind, then each change, and resume after outages."""
+    """Report all objects of a kind, then each change, and resume after outages.
+
+    Watches wait long while `confirm` shows that they miss nothing, else shortly.
+    """
 
     def __init__(
         self,
@@ -115,22 +128,30 @@
         self._log = log
         self._rng = rng
         self._revision: int | None = None
+        # The last revision that may have changed an object of this kind.
+        self.changed_revision = 0
+        # The objects seen since the last list, removed ones included.
+        self._names: set[str] = set()
         self._must_ping = False
         self._era = era
-        # The watch under way, which a new era ends.
+        # The watch under way, which `_renew` or a new era ends.
         self._watch_task: asyncio.Task[t.Any] | None = None
+        self._watch_wait_s = _WATCH_WAIT_S
+        self._watch_sent_at = float("-inf")
         if era is not None:
             era.subscribe(self._on_new_era)
         self._watch_delay = WatchDelay(max_watch_delay_s)
         self._retry_s = _RETRY_MIN_S
         # No change before this time is missing, on the clock of `boottime`.
         self._current_at = boottime()
+        # When the mirror was last listed or confirmed by a relay.
+        self._confirmed_at = self._current_at
 
     async def run(self) -> None:
         """Mirror the objects until cancelled."""
         while True:
             try:
-                await self._sync()
+                answered = await self._sync()
             except StoreHistoryGone as exc:
                 self._log.write("store_history_gone", kind=self.kind, reason=str(exc))
                 self._revision = None
@@ -146,39 +167,60 @@
                 self._revision = None
                 await asyncio.sleep(_RETRY_MAX_S)
             else:
-                self._on_success()
+                if answered:
+                    self._on_success()
 
-    async def _sync(self) -> None:
+    async def _sync(self) -> bool:
+        """List or watch once; return whether the store answered."""
         if self._must_ping:
             await self._store.ping()
             self._must_ping = False
         if self._revision is None:
             sent_at = boottime()
             listing = await self._store.list(self.kind)
-            self._current_at = sent_at
-            self._revision = listing.revision
+            self._current_at = self._confirmed_at = sent_at
+            self._record_list(listing)
             self._on_list(listing.objects)
-            return
-        sent_at = boottime()
+            return True
         answer = await self._watch(self._revision)
         if answer is None or self._revision is None:
-            # The store has come back from a copy: its revisions count anew.
-            return
-        self._current_at = sent_at
-        changes, revision = answer
-        self._revision = revision
+            # The watch was renewed, or a restored store counts its revisions anew.
+            return False
+        changes, self._revision = answer
+        if not changes:
+            # The store answered no sooner than the wait ended, unless it cut it short.
+            waited_until = self._watch_sent_at + self._watch_wait_s
+            if boottime() >= waited_until:
+                self._advance(waited_until)
+            return True
+        self._advance(self._watch_sent_at)
+        self.changed_revision = self._revision
         for change in changes:
+            self._names.add(change.object.name)
             self._on_change(change)
-        if not changes:
-            return
         # Changes come in bursts; the delay lets one call return all of a burst.
-        await asyncio.sleep(self._watch_delay.next_s(self._now()))
+        delay_s = self._watch_delay.next_s(self._now())
+        await asyncio.sleep(delay_s if self._is_confirmed() else _SHORT_WATCH_DELAY_S)
+        return True
+
+    def _record_list(self, listing: t.Any) -> None:
+        revisions = {obj.name: obj.revision for obj in listing.objects}
+        self._revision = listing.revision
+        if self._names <= revisions.keys():
+            self.changed_revision = max(revisions.values(), default=0)
+        else:
+            # When the missing objects were removed is not known.
+            self.changed_revision = listing.revision
+        self._names = set(revisions)
 
     async def _watch(self, revision: int) -> t.Any:
-        """Return the store's answer to a watch, None if a new era ended it."""
+        """Return the store's answer to a watch, None if it was ended."""
         loop = asyncio.get_running_loop()
+        confirmed = self._is_confirmed()
+        self._watch_wait_s = _WATCH_WAIT_S if confirmed else _SHORT_WATCH_WAIT_S
+        self._watch_sent_at = boottime()
         task = self._watch_task = loop.create_task(
-            self._store.watch(self.kind, revision, _WATCH_WAIT_S)
+            self._store.watch(self.kind, revision, self._watch_wait_s)
         )
         try:
             await asyncio.wait([task])
@@ -213,6 +255,65 @@
         """Return the age in seconds that a change can have without being reported."""
         return boottime() - self._current_at
 
+    def confirm(self, changed_revision: int, current_at: float) -> None:
+        """Take note that a relay knew no change after a revision at a time.
+
+        Renews a watch that has not reported the change in time. Revisions are of the
+        current era; the time is on the clock of `boottime`.
+        """
+        if self._revision is None:
+            return
+        if changed_revision <= self._revision:
+            self._advance(current_at)
+            self._confirmed_at = max(self._confirmed_at, current_at)
+        elif (
+            self._is_watching_long()
+            and boottime() - self._watch_sent_at > _WATCH_ANSWER_S
+        ):
+            self._renew("a relay knows of a newer change")
+
+    def until_renewal_s(self) -> float:
+        """Return the time until `check` would renew the watch, in seconds."""
+        if not self._is_watching_long():
+            return float("inf")
+        return max(0.0, _MAX_AGE_S - self.age_s())
+
+    def check(self, relays_to_all: bool) -> None:
+        """Renew a long watch if nothing has shown for too long that it works.
+
+        A mirror that confirms those of all other proxies does not watch long.
+        """
+        if not self._is_watching_long():
+            return
+        if relays_to_all:
+            self._renew("other proxies rely on it")
+        elif self.age_s() >= _MAX_AGE_S:
+            self._renew("neither answered nor confirmed")
+
+    def _renew(self, reason: str) -> None:
+        """Replace a long watch by a short one, on another connection."""
+        self._log.write(
+            "watch_renewed",
+            kind=self.kind,
+            revision=self._revision,
+            waited_s=round(boottime() - self._watch_sent_at, 1),
+            age_s=round(self.age_s(), 1),
+            reason=reason,
+        )
+        self._confirmed_at = float("-inf")
+        if self._watch_task is not None:
+            self._watch_task.cancel()
+            self._watch_task = None
+
+    def _is_watching_long(self) -> bool:
+        return self._watch_task is not None and self._watch_wait_s == _WATCH_WAIT_S
+
+    def _advance(self, current_at: float) -> None:
+        self._current_at = max(self._current_at, current_at)
+
+    def _is_confirmed(self) -> bool:
+        return boottime() - self._confirmed_at <= _MAX_AGE_S
+
     def unreachable_s(self) -> float:
         """Return how long the store has been unreachable, in seconds."""
         if self.reachable:
--- a/src/rosemaryridge/platform/store.py
+++ b/src/rosemaryridge/platform/store.py
@@ -21,7 +21,7 @@
 _CALL_TIMEOUT_S = 1.5
 _CONNECT_TIMEOUT_S = 1.0
 # Time that a watch may take beyond its requested wait.
-_WATCH_SLACK_S = 2.0
+_WATCH_SLACK_S = 1.0
 _DEFAULT_RETRY_AFTER_S = 0.5
 # Counts how often the store has come back from a copy.
 _ERA_HEADER = "store-era"
--- /dev/null
+++ b/tests/test_mirror_monitor.py
@@ -0,0 +1,270 @@
+"""Test how proxies find out that a watch of the store misses changes."""
+
+import asyncio
+import random
+import types
+import unittest
+from unittest import mock
+
+from rosemaryridge.core import MirrorMonitor
+from rosemaryridge.core import Peer
+from rosemaryridge.core import Peers
+from rosemaryridge.core import RetryGate
+from rosemaryridge.core import StoreEra
+from rosemaryridge.core import StoreMirror
+from rosemaryridge.core import _store_mirror
+from rosemaryridge.core._boottime import boottime
+from rosemaryridge.core._mirror_monitor import MirrorListing
+from rosemaryridge.core._peer_messages import MirrorsReply
+from rosemaryridge.core._peer_messages import MirrorsRequest
+from rosemaryridge.core._peer_messages import MirrorState
+from rosemaryridge.core._peer_messages import decode
+from rosemaryridge.core._peer_messages import encode
+from rosemaryridge.core._peers import MIRRORS
+from rosemaryridge.exceptions import StoreUnavailable
+from rosemaryridge.model import Endpoint
+
+MAX_AGE_S = 0.2
+LONG_S = _store_mirror._WATCH_WAIT_S
+SHORT_S = 0.05
+ANSWER_S = 0.05
+
+
+class StubLog:
+    def __init__(self):
+        self.events = []
+
+    def write(self, event, **fields):
+        self.events.append((event, fields))
+
+    def reasons(self):
+        return [f["reason"] for event, f in self.events if event == "watch_renewed"]
+
+
+def stored(name, revision):
+    return types.SimpleNamespace(name=name, revision=revision)
+
+
+class StubStore:
+    """Answer lists and watches; a silent store answers no watch."""
+
+    def __init__(self):
+        self.revision = 5
+        self.objects = {"main": 5}
+        self.silent = False
+        self.waits = []
+        self.changed = asyncio.Event()
+
+    def write(self, name="main"):
+        self.revision += 1
+        self.objects[name] = self.revision
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def ping(self):
+        pass
+
+    async def list(self, kind):
+        objects = [stored(*item) for item in self.objects.items()]
+        return types.SimpleNamespace(objects=objects, revision=self.revision)
+
+    async def watch(self, kind, revision, wait_s):
+        self.waits.append(wait_s)
+        if self.silent:
+            await asyncio.sleep(wait_s + 0.05)
+            raise StoreUnavailable("no response")
+        while not (found := self._changes(revision)):
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self.changed.wait()
+            except TimeoutError:
+                break
+        if self.silent:
+            await asyncio.Event().wait()
+        return found, self.revision
+
+    def _changes(self, since):
+        return [
+            types.SimpleNamespace(object=stored(name, revision), removed=False)
+            for name, revision in self.objects.items()
+            if revision > since
+        ]
+
+
+class MirrorCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        patch = mock.patch.multiple(
+            _store_mirror,
+            _MAX_AGE_S=MAX_AGE_S,
+            _SHORT_WATCH_WAIT_S=SHORT_S,
+            _WATCH_ANSWER_S=ANSWER_S,
+            _MIN_WATCH_DELAY_S=0.01,
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.log = StubLog()
+        self.store = StubStore()
+        self.changes = []
+        self.mirror = StoreMirror(
+            self.store,
+            "config",
+            lambda objects: None,
+            lambda change: self.changes.append(change.object.revision),
+            self.log,
+            random.Random(1),
+            RetryGate(),
+        )
+        task = asyncio.create_task(self.mirror.run())
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(0.02)
+
+
+class WatchRenewalTest(MirrorCase):
+    async def test_a_watch_without_confirmation_is_renewed_and_finds_the_change(self):
+        self.assertEqual(self.store.waits, [LONG_S])
+        self.store.silent = True
+        self.store.write()
+        await asyncio.sleep(MAX_AGE_S + 0.01)
+        self.assertEqual(self.changes, [])
+        self.store.silent = False
+        self.mirror.check(False)
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.changes, [6])
+        self.assertEqual(self.store.waits[1], SHORT_S)
+        self.assertEqual(self.log.reasons(), ["neither answered nor confirmed"])
+
+    async def test_a_confirmed_watch_is_not_renewed(self):
+        for _ in range(6):
+            await asyncio.sleep(MAX_AGE_S / 3)
+            self.mirror.confirm(5, boottime())
+            self.mirror.check(False)
+        self.assertEqual(self.store.waits, [LONG_S])
+        self.assertLess(self.mirror.age_s(), MAX_AGE_S)
+
+    async def test_an_old_state_of_a_relay_confirms_nothing(self):
+        for _ in range(4):
+            await asyncio.sleep(MAX_AGE_S / 3)
+            self.mirror.confirm(5, boottime() - MAX_AGE_S)
+            self.mirror.check(False)
+        self.assertEqual(self.store.waits[:2], [LONG_S, SHORT_S])
+
+    async def test_a_change_that_a_relay_knows_renews_a_silent_watch(self):
+        self.store.silent = True
+        self.store.write()
+        await asyncio.sleep(ANSWER_S + 0.01)
+        self.store.silent = False
+        self.mirror.confirm(6, boottime())
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.changes, [6])
+
+    async def test_a_change_that_a_relay_knew_sooner_leaves_the_watch_time(self):
+        self.mirror.confirm(6, boottime())
+        self.store.write()
+        await asyncio.sleep(0.02)
+        self.assertEqual((self.changes, self.log.reasons()), ([6], []))
+
+    async def test_a_revision_without_a_change_renews_the_watch_once(self):
+        # A relay that has listed again may name a revision that changed nothing here.
+        await asyncio.sleep(ANSWER_S + 0.01)
+        self.store.revision = 9
+        for _ in range(5):
+            self.mirror.confirm(9, boottime())
+            await asyncio.sleep(SHORT_S / 2)
+        self.assertEqual(len(self.log.reasons()), 1)
+
+    async def test_a_renewed_watch_tells_nothing_of_the_store(self):
+        self.store.silent = True
+        self.mirror.reachable = False
+        self.mirror.confirm(5, boottime() - 2 * MAX_AGE_S)
+        await asyncio.sleep(MAX_AGE_S)
+        self.mirror.check(False)
+        await asyncio.sleep(0.01)
+        self.assertFalse(self.mirror.reachable)
+
+    async def test_the_first_relay_watches_shortly_and_knows_its_age(self):
+        self.mirror.check(True)
+        await asyncio.sleep(3 * SHORT_S)
+        self.assertGreater(len(self.store.waits), 2)
+        self.assertEqual(set(self.store.waits[1:]), {SHORT_S})
+        self.assertLess(self.mirror.age_s(), 2 * SHORT_S)
+
+    async def test_a_removal_between_two_lists_counts_as_a_change(self):
+        self.store.write("other")
+        await asyncio.sleep(0.02)
+        del self.store.objects["other"]
+        self.store.revision = 8
+        self.store.silent = True
+        self.mirror.check(True)
+        await asyncio.sleep(SHORT_S + 0.4)
+        self.assertEqual(self.mirror.changed_revision, 8)
+
+
+class MonitorTest(MirrorCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.era = StoreEra(self.log)
+        self.era.observe(2)
+        self.monitor = MirrorMonitor([self.mirror], self.era, random.Random(1))
+        self.monitor.request_from_relay = self.request_from_relay
+        self.listing = None
+
+    async def request_from_relay(self):
+        return self.listing
+
+    async def test_states_of_an_earlier_era_are_dropped(self):
+        before = self.mirror.age_s()
+        states = {"config": MirrorState(5, 0.0)}
+        self.listing = MirrorListing(states, boottime(), 1)
+        await self.monitor.check()
+        self.assertGreaterEqual(self.mirror.age_s(), before)
+        self.listing = MirrorListing(states, boottime(), 2)
+        await self.monitor.check()
+        self.assertLess(self.mirror.age_s(), before)
+
+    async def test_a_relay_passes_its_own_age_on(self):
+        await asyncio.sleep(0.03)
+        states, era = self.monitor.states()
+        self.assertEqual((states["config"].changed_revision, era), (5, 2))
+        self.assertGreaterEqual(states["config"].age_s, 0.03)
+
+
+class MirrorRelayTest(unittest.IsolatedAsyncioTestCase):
+    def test_the_state_of_mirrors_survives_a_datagram(self):
+        states = {"config": MirrorState(7, 0.25), "servers": MirrorState(9, 1.5)}
+        for message in (
+            MirrorsRequest(3),
+            MirrorsReply(3, 4, states),
+            MirrorsReply(3, None, {}),
+        ):
+            self.assertEqual(decode(encode(message)), message)
+
+    def test_malformed_states_are_refused(self):
+        for data in (
+            b'["mirrors", 3, 4]',
+            b'["mirrors", 3, 4, {"config": [7, -1.0]}]',
+            b'["mirrors", 3, 4, {"config": 7}]',
+            b'["mirrors", 3, 4, [7]]',
+            b'["get-mirrors"]',
+            b'["other", 3]',
+        ):
+            with self.assertRaises((ValueError, TypeError)):
+                decode(data)
+
+    async def test_one_proxy_of_a_fleet_relies_on_the_store_alone(self):
+        peers = [Peer(f"vm-{n}", "abc"[n % 3], Endpoint("h", n)) for n in range(195)]
+        relays, first = {}, []
+        for peer in peers:
+            bus = Peers(peer.vm, peer.failure_domain, {}, StubLog())
+            bus.set_peers(peers)
+            relay = bus._select_relay(MIRRORS)
+            relays[peer.vm] = relay and relay.vm
+            if bus.is_first_mirror_relay():
+                first.append(peer.vm)
+        (root,) = [vm for vm, relay in relays.items() if relay is None]
+        self.assertEqual(first, [root])
+        for vm in relays:
+            hops = 0
+            while vm != root:
+                vm = relays[vm]
+                hops += 1
+            self.assertLessEqual(hops, 2)
