Drop the idle connections to the platform when a call gets no answer

Callers would see a change late: after connections fell silent, each call (the renewed watch, the probe, the list) could take another silent connection from the idle ones and wait for its timeout, 2.0 s, 1.5 s, 1.5 s: over the 5 s.

Cause: one call without an answer said nothing of the other connections to the same endpoint. A call that fails or is cancelled now closes the idle ones; a new connection costs one round trip.

--- a/src/rosemaryridge/platform/http.py
+++ b/src/rosemaryridge/platform/http.py
@@ -157,7 +157,12 @@
                 self._idle.append(connection)
                 raise
         head = self._encode_head(method, path, body, headers or {})
-        answer = await connection.request(head, body, timeout_s)
+        try:
+            answer = await connection.request(head, body, timeout_s)
+        except BaseException:
+            # The idle connections may have fallen silent too.
+            self.close()
+            raise
         if connection.usable:
             self._idle.append(connection)
         return answer
