Probe a new connection before a silent target is taken for dead

Callers would see: after the open connections to a primary fell silent while new ones work, each write that took an idle one ended with an unknown outcome, and the primary was replaced although it worked (a promotion and its gap).

The probe of a target took an idle connection, as silent as the first. The test failed before: a second write in doubt or refused, and a promotion, 3 of 3 runs.

A target that does not answer a probe loses its idle connections, so that the next probe, which precedes any promotion, opens a new one. A dead target loses nothing by it, and the failover gap stays as it was: the second probe ran before.

--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -244,6 +244,8 @@
         if target.unresponsive_since is None:
             self._log.write("target_silent", service=self.service, target=target.id)
             target.mark_unresponsive(self._loop.time())
+            # They may have fallen silent while the target works: probe a new one.
+            target.pool.close_idle()
             self._spawn(self._probe_until_response(target))
         self.suspect(target)
 
--- a/src/rosemaryridge/core/_pool.py
+++ b/src/rosemaryridge/core/_pool.py
@@ -256,15 +256,19 @@
             self._idle.pop(0)[0].close()
         self._schedule_idle_close()
 
+    def close_idle(self) -> None:
+        """Close the idle connections."""
+        for link, _ in self._idle:
+            link.close()
+        self._idle.clear()
+
     def close(self) -> None:
         """Close idle connections now, and those in use once they are released."""
         self._closed = True
         for timer in (self._idle_timer, self._resume_timer):
             if timer is not None:
                 timer.cancel()
-        for link, _ in self._idle:
-            link.close()
-        self._idle.clear()
+        self.close_idle()
         for task in self._tasks:
             task.cancel()
         self._fail_waiting(ConnectFailed("the target was removed", wrong_target=True))
--- a/src/rosemaryridge_testbed/site/_target.py
+++ b/src/rosemaryridge_testbed/site/_target.py
@@ -139,6 +139,8 @@
         self._slots = asyncio.Semaphore(slots)
         self._waiting = 0
         self._writers: set[asyncio.StreamWriter] = set()
+        # Open connections that answer nothing any more.
+        self._silent: set[asyncio.StreamWriter] = set()
         self._connections: list[_Connection] = []
         self._server: asyncio.Server | None = None
         self._port = 0
@@ -206,6 +208,10 @@
         for connection in self._connections:
             connection.prepared.clear()
 
+    def silence_connections(self) -> None:
+        """Answer nothing on the open connections; new ones work."""
+        self._silent.update(self._writers)
+
     def position(self) -> str:
         """Return the position of the last applied commit."""
         if not self.applied:
@@ -224,6 +230,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._silent.discard(writer)
             writer.close()
 
     async def _accept_session(
@@ -248,7 +255,7 @@
         self._connections.append(connection)
         while True:
             request = await _read_line(reader)
-            if self.fault == "mute":
+            if self.fault == "mute" or writer in self._silent:
                 continue
             if self.garbage:
                 writer.write(self.garbage)
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -743,6 +743,21 @@
     proxies = 4
 
 
+class SilentTargetTest(SiteCase):
+    async def test_writes_do_not_wait_for_each_connection_that_fell_silent(self):
+        callers = [await self.client("books-orders") for _ in range(5)]
+        await asyncio.gather(*(one.execute("WRITE k before") for one in callers))
+        pool = self.entries[0]._proxy.directory.groups["books"].targets["books-0"].pool
+        self.assertGreaterEqual(len(pool._idle), 4)
+        self.target(0).silence_connections()
+        first = await callers[0].execute("WRITE k doubtful")
+        self.assertEqual(first.code, "INDOUBT")
+        for number, caller in enumerate(callers[1:]):
+            reply = await caller.execute(f"WRITE k after{number}")
+            self.assertEqual(reply.code, "")
+        self.assertEqual(self.site.promotions, [])
+
+
 class StoreTest(SiteCase):
     async def test_objects_are_listed_again_after_a_compaction(self):
         self.site.store.compact()
