Shorten the watches of published services, so that silence is noticed

Publishers would see: after the object API was silent for 2 s, a published revision was not in force 20 s later; the six watchers waited for answers that would not come, up to 33 s.

Six proxies of the fleet watch, so the wait can be short: 3 s costs the fleet some 2.4 calls a second (6 watchers, waits of 2.1 to 3 s).

--- a/src/rosemaryridge/config/_settings.py
+++ b/src/rosemaryridge/config/_settings.py
@@ -62,7 +62,10 @@
         6,
         "Proxies that watch the object API for the fleet, spread over failure domains.",
     )
-    watch_wait_s: Seconds = setting(30.0, "Longest wait of one watch.")
+    watch_wait_s: Seconds = setting(
+        3.0,
+        "Longest wait of one watch; its answer shows that the connection still works.",
+    )
     rearm_s: Seconds = setting(
         0.5, "Pause after changes, so that the next watch returns several at once."
     )
--- a/src/rosemaryridge_testbed/platform/_server.py
+++ b/src/rosemaryridge_testbed/platform/_server.py
@@ -40,10 +40,12 @@
 class Faults(msgspec.Struct, kw_only=True):
     """Set the active faults; times in milliseconds.
 
-    `lose_answers` is the number of next writes that are stored but not answered.
+    `lose_answers` is the number of next writes that are stored but not answered. Calls
+    that arrive or wait while `silent` is set are never answered.
     """
 
     outage: bool = False
+    silent: bool = False
     slow_ms: float = 0.0
     lose_answers: int = 0
     vm_list_lag_ms: float = 0.0
@@ -101,8 +103,14 @@
         await asyncio.sleep(self._faults.slow_ms / 1000.0)
         if self._faults.outage:
             return web.Response(status=503)
+        if self._faults.silent:
+            await self._stay_silent()
         return await handler(req)
 
+    async def _stay_silent(self) -> t.NoReturn:
+        while True:
+            await asyncio.sleep(3600.0)
+
     async def _list(self, req: web.Request) -> web.Response:
         self._counts.reads += 1
         return self._changes_response(req.match_info["kind"], 0)
@@ -140,6 +148,8 @@
         since = int(req.query.get("since", "0"))
         end = time.monotonic() + min(float(req.query.get("wait_s", "30")), 60.0)
         while not self._faults.outage and not self._store.list(kind, since):
+            if self._faults.silent:
+                await self._stay_silent()
             left_s = end - time.monotonic()
             changed = self._changed
             if left_s <= 0.0:
--- a/tests/integration/test_publish.py
+++ b/tests/integration/test_publish.py
@@ -46,7 +46,9 @@
         cls.addClassCleanup(lambda: cls._runner.run(cls.store.close()))
 
     async def begin(self):
-        await self.fleet.admin.set_platform(outage=False, lose_answers=0)
+        await self.fleet.admin.set_platform(
+            outage=False, silent=False, lose_answers=0
+        )
         await self.wait_in_force((await self.stored()).revision)
 
     async def stored(self) -> ServiceConfig:
@@ -121,6 +123,14 @@
         await self.fleet.admin.set_platform(outage=True)
         await self.wait_in_force(revision)
 
+    async def test_a_revision_is_in_force_after_the_object_api_was_silent(self):
+        await self.fleet.admin.set_platform(silent=True)
+        await asyncio.sleep(2.0)
+        await self.fleet.admin.set_platform(silent=False)
+        status, output = await self.publish(await self.write_file(22.0))
+        self.assertEqual(status, 0, output)
+        await self.wait_in_force((await self.stored()).revision)
+
     async def test_lost_answers_are_read_back(self):
         before = (await self.stored()).revision
         path = await self.write_file(31.0)
