Let the soak change the configuration and check that it is in force

New faults: changes of a route, open watches and open connections to a target that fall silent; new check: 5 s after the last fault, the configuration that was published as it ended is in force on all proxies.

--- a/src/rosemaryridge_testbed/cli/soak.py
+++ b/src/rosemaryridge_testbed/cli/soak.py
@@ -46,7 +46,9 @@
     help="Seconds during which faults are injected.",
 )
 @click.option(
-    "--plant", default="", help="Fault to plant in every target; the run must find it."
+    "--plant",
+    default="",
+    help="Fault to plant in the targets or the store; the run must find it.",
 )
 @click.option(
     "--fault",
--- a/src/rosemaryridge_testbed/site/_site.py
+++ b/src/rosemaryridge_testbed/site/_site.py
@@ -68,11 +68,16 @@
             await runner.cleanup()
 
     def publish(
-        self, version: int, without: t.Collection[str] = (), **fields: t.Any
+        self,
+        version: int,
+        without: t.Collection[str] = (),
+        added: t.Collection[str] = (),
+        **fields: t.Any,
     ) -> None:
         """Publish a configuration without the routes of the databases in `without`.
 
-        `fields` override fields of every route.
+        The databases in `added` have routes to the first service. `fields` override
+        fields of every route.
         """
         routes = [
             self._route(f"{service}-{name}", service, consistency) | fields
@@ -80,6 +85,10 @@
             for name, consistency in ROUTES.items()
             if f"{service}-{name}" not in without
         ]
+        routes += [
+            self._route(database, self.options.services[0], "read_your_writes") | fields
+            for database in added
+        ]
         services = [
             {"name": service, "max_conns": self.options.max_connections}
             for service in self.options.services
--- a/src/rosemaryridge_testbed/soak/_faults.py
+++ b/src/rosemaryridge_testbed/soak/_faults.py
@@ -151,6 +151,23 @@
     store.fault = ""
 
 
+@_fault
+async def _silent_watches(soak: "Soak", rng: random.Random) -> None:
+    soak.site.store.silence_watches()
+
+
+@_fault
+async def _silent_connections(soak: "Soak", rng: random.Random) -> None:
+    _choose_target(soak, rng).silence_connections()
+
+
+@_fault
+async def _change_config(soak: "Soak", rng: random.Random) -> None:
+    for _ in range(rng.randint(1, 3)):
+        soak.toggle_route()
+        await asyncio.sleep(rng.uniform(0.0, 1.5))
+
+
 @_fault
 async def _forgetful_store(soak: "Soak", rng: random.Random) -> None:
     soak.site.store.compact()
--- a/src/rosemaryridge_testbed/soak/_ledger.py
+++ b/src/rosemaryridge_testbed/soak/_ledger.py
@@ -17,6 +17,7 @@
     STALE = "a read covers what was acknowledged before"
     ONE = "no write is acknowledged by a deposed primary"
     RECOVER = "all proxies serve soon after the last fault"
+    CONFIG = "a published configuration is in force soon after the last fault"
     UNSIGNED = "a success carries its target's signature"
 
 
--- a/src/rosemaryridge_testbed/soak/_soak.py
+++ b/src/rosemaryridge_testbed/soak/_soak.py
@@ -31,6 +31,11 @@
 _START_TIMEOUT_S = 30.0
 # The deployments' limit on the time until all proxies serve after the last fault.
 _RECOVERY_TIMEOUT_S = 15.0
+# The strictest deployment's limit on the time until a configuration that is published
+# when the last fault has ended is in force.
+_CONFIG_TIMEOUT_S = 5.0
+# A database whose route the faults add and remove; no caller uses it.
+_TOGGLED_DATABASE = f"{_SERVICE}-toggled"
 # `grace_s` of the settings, plus the longest pause of a proxy, plus a margin.
 _END_TIMEOUT_S = 6.0 + 3.0 + 3.0
 
@@ -67,6 +72,8 @@
         self._links: list[Link] = []
         self._ending: set[str] = set()
         self._probes = itertools.count()
+        self._versions = itertools.count(2)
+        self._has_toggled_route = False
 
     @property
     def group(self) -> SiteGroup:
@@ -88,6 +95,7 @@
         if self.options.plant:
             for target in self.group.targets.values():
                 target.plant = self.options.plant
+            self.site.store.hide_changes = self.options.plant == "unseen"
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
@@ -105,11 +113,15 @@
             for number in range(self.options.callers)
         ]
         await self._inject_faults()
+        self.toggle_route()
+        config_due_at = time.monotonic() + _CONFIG_TIMEOUT_S
         recovered = True
         try:
             await self._wait_until_serving(_RECOVERY_TIMEOUT_S)
         except TimeoutError:
             recovered = False
+        await asyncio.sleep(config_due_at - time.monotonic())
+        outdated = await self._count_outdated_proxies() if recovered else 0
         stopping.set()
         await asyncio.gather(*callers)
         longest = max(self.group.targets.values(), key=lambda target: len(target.log))
@@ -118,8 +130,15 @@
             log, self.group.rolled_back, set(self.group.split_commits)
         )
         violations[Rule.RECOVER] += not recovered
+        violations[Rule.CONFIG] += outdated
         return +violations
 
+    def toggle_route(self) -> None:
+        """Publish a configuration that adds or removes one route."""
+        self._has_toggled_route = not self._has_toggled_route
+        added = (_TOGGLED_DATABASE,) if self._has_toggled_route else ()
+        self.site.publish(next(self._versions), added=added)
+
     def logs(self) -> dict[str, str]:
         """Return the output of each program."""
         return {name: self._processes.log(name).read_text() for name in self.names}
@@ -192,6 +211,18 @@
             return False
         return not reply.code
 
+    async def _count_outdated_proxies(self) -> int:
+        outdated = 0
+        for address in self._addresses.values():
+            try:
+                client = await Client.open(address, _TOGGLED_DATABASE)
+            except ConnectionRefusedError:
+                outdated += self._has_toggled_route
+            else:
+                client.close()
+                outdated += not self._has_toggled_route
+        return outdated
+
     async def _insert_link(self, target: t.Any) -> None:
         host, _, port = target.address.partition(":")
         ports = free_ports((target.name,))
--- a/tests/integration/test_publish.py
+++ b/tests/integration/test_publish.py
@@ -46,9 +46,7 @@
         cls.addClassCleanup(lambda: cls._runner.run(cls.store.close()))
 
     async def begin(self):
-        await self.fleet.admin.set_platform(
-            outage=False, silent=False, lose_answers=0
-        )
+        await self.fleet.admin.set_platform(outage=False, silent=False, lose_answers=0)
         await self.wait_in_force((await self.stored()).revision)
 
     async def stored(self) -> ServiceConfig:
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -37,6 +37,7 @@
             "refused": Rule.REFUSED,
             "stale": Rule.STALE,
             "unsigned": Rule.UNSIGNED,
+            "unseen": Rule.CONFIG,
         }
         for plant, rule in plants.items():
             with self.subTest(plant=plant):
