Let a relay that has listed nothing confirm nothing

Callers would see a change up to 4.2 s later, after relays restarted while the store was silent: a mirror took its own start for the time before which it misses nothing, and confirmed others by it. The age is infinite until the first list.

--- a/src/rosemaryridge/core/_store_mirror.py
+++ b/src/rosemaryridge/core/_store_mirror.py
@@ -143,9 +143,9 @@
         self._watch_delay = WatchDelay(max_watch_delay_s)
         self._retry_s = _RETRY_MIN_S
         # No change before this time is missing, on the clock of `boottime`.
-        self._current_at = boottime()
-        # When the mirror was last listed or confirmed by a relay.
-        self._confirmed_at = self._current_at
+        self._current_at = float("-inf")
+        # When the mirror was started, last listed or confirmed by a relay.
+        self._confirmed_at = boottime()
 
     async def run(self) -> None:
         """Mirror the objects until cancelled."""
--- a/tests/test_mirror_monitor.py
+++ b/tests/test_mirror_monitor.py
@@ -221,6 +221,17 @@
         await self.monitor.check()
         self.assertLess(self.mirror.age_s(), before)
 
+    async def test_a_relay_that_has_listed_nothing_confirms_nothing(self):
+        starting = StoreMirror(
+            self.store, "config", None, None, self.log, random.Random(1), RetryGate()
+        )
+        relay = MirrorMonitor([starting], self.era, random.Random(1))
+        before = self.mirror._current_at
+        states = decode(encode(MirrorsReply(1, 2, relay.states()[0]))).mirrors
+        self.listing = MirrorListing(states, boottime(), 2)
+        await self.monitor.check()
+        self.assertEqual(self.mirror._current_at, before)
+
     async def test_a_relay_passes_its_own_age_on(self):
         await asyncio.sleep(0.03)
         states, era = self.monitor.states()
