Let two proxies of the fleet watch the store with short waits

With one, its loss makes all others renew their watches at the same moment: the second takes 4.2 s to notice, and the ages of the others run out meanwhile. On 195 proxies that is some hundreds of calls; the second proxy's short waits are two calls a second. Not measured on its own.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -142,7 +142,7 @@
         )
         self._mirror_monitor = MirrorMonitor(self._mirrors, self._era, self._log, rng)
         self._mirror_monitor.request_from_relay = self._peers.request_mirrors
-        self._mirror_monitor.is_first_relay = self._peers.is_first_mirror_relay
+        self._mirror_monitor.is_relay_of_fleet = self._peers.is_mirror_relay_of_fleet
         self._peers.mirrors = self._mirror_monitor
 
     async def run(self) -> None:
--- a/src/rosemaryridge/core/_mirror_monitor.py
+++ b/src/rosemaryridge/core/_mirror_monitor.py
@@ -1,8 +1,8 @@
 """Confirm through relays that the mirrors of the store miss no change.
 
-One proxy of the fleet watches the store with short waits. Two proxies of each failure
-domain ask it for the revisions of the last changes, and the others ask one of these, so
-that the calls to the store do not grow with the number of proxies.
+Two proxies of the fleet watch the store with short waits. Two proxies of each failure
+domain ask one of them for the revisions of the last changes, and the others ask one of
+their domain, so that the calls to the store do not grow with the number of proxies.
 """
 
 import asyncio
@@ -41,8 +41,8 @@
         self.request_from_relay: (
             t.Callable[[], t.Awaitable[MirrorListing | None]] | None
         ) = None
-        # Returns whether this proxy is the first relay of the fleet.
-        self.is_first_relay: t.Callable[[], bool] = lambda: False
+        # Returns whether this proxy is a relay of the whole fleet.
+        self.is_relay_of_fleet: t.Callable[[], bool] = lambda: False
         self._mirrors = mirrors
         self._era = era
         self._log = log
@@ -71,9 +71,9 @@
                 if state is not None:
                     current_at = listing.requested_at - state.age_s
                     mirror.confirm(state.changed_revision, current_at)
-        relays_to_all = self.is_first_relay()
+        is_relay_of_fleet = self.is_relay_of_fleet()
         for mirror in self._mirrors:
-            mirror.check(relays_to_all)
+            mirror.check(is_relay_of_fleet)
 
     def states(self) -> tuple[dict[str, MirrorState], int | None]:
         """Return the state of this proxy's mirrors by kind, and the store's era."""
--- a/src/rosemaryridge/core/_peers.py
+++ b/src/rosemaryridge/core/_peers.py
@@ -160,11 +160,10 @@
             return None
         return MirrorListing(reply.mirrors, sent_at, reply.era)
 
-    def is_first_mirror_relay(self) -> bool:
-        """Return whether all other proxies rely on this one's mirrors."""
-        if len(self._peers) < _RELAYS:
-            return False
-        return choose_relays(MIRRORS, self._peers)[0].vm == self._vm
+    def is_mirror_relay_of_fleet(self) -> bool:
+        """Return whether the other proxies rely on this one's mirrors."""
+        relays = choose_relays(MIRRORS, self._peers)
+        return len(relays) == _RELAYS and any(peer.vm == self._vm for peer in relays)
 
     async def _request(
         self,
@@ -213,10 +212,8 @@
         if subject not in (CLAIMS, MIRRORS):
             return [] if is_relay else nearby
         fleet = choose_relays(subject, self._peers)
-        names = [peer.vm for peer in fleet]
-        if self._vm in names:
-            # The second of the fleet has its mirrors confirmed by the first.
-            return fleet[: names.index(self._vm)] if subject == MIRRORS else []
+        if any(peer.vm == self._vm for peer in fleet):
+            return []
         return fleet if is_relay else nearby
 
     def datagram_received(self, data: bytes, addr: tuple[t.Any, ...]) -> None:
--- a/src/rosemaryridge/core/_store_mirror.py
+++ b/src/rosemaryridge/core/_store_mirror.py
@@ -278,14 +278,14 @@
             return float("inf")
         return max(0.0, _MAX_AGE_S - self.age_s())
 
-    def check(self, relays_to_all: bool) -> None:
+    def check(self, is_relied_on: bool) -> None:
         """Renew a long watch if nothing has shown for too long that it works.
 
-        A mirror that confirms those of all other proxies does not watch long.
+        A mirror that the other proxies rely on does not watch long.
         """
         if not self._is_watching_long():
             return
-        if relays_to_all:
+        if is_relied_on:
             self._renew("other proxies rely on it")
         elif self.age_s() >= _MAX_AGE_S:
             self._renew("neither answered nor confirmed")
--- a/tests/test_mirror_monitor.py
+++ b/tests/test_mirror_monitor.py
@@ -181,7 +181,7 @@
         await asyncio.sleep(0.01)
         self.assertFalse(self.mirror.reachable)
 
-    async def test_the_first_relay_watches_shortly_and_knows_its_age(self):
+    async def test_a_mirror_that_others_rely_on_watches_shortly(self):
         self.mirror.check(True)
         await asyncio.sleep(3 * SHORT_S)
         self.assertGreater(len(self.store.waits), 2)
@@ -236,7 +236,7 @@
 
     async def test_a_failing_check_does_not_end_the_monitor(self):
         self.monitor.request_from_relay = None
-        self.monitor.is_first_relay = {}.popitem
+        self.monitor.is_relay_of_fleet = {}.popitem
         task = asyncio.create_task(self.monitor.run())
         self.addCleanup(task.cancel)
         await asyncio.sleep(1.0)
@@ -282,21 +282,26 @@
         self.assertIsNone(await bus.request_mirrors())
         self.assertNotEqual(bus._select_relay(MIRRORS).vm, first)
 
-    async def test_one_proxy_of_a_fleet_relies_on_the_store_alone(self):
+    async def test_two_proxies_of_a_fleet_rely_on_the_store_alone(self):
         peers = [Peer(f"vm-{n}", "abc"[n % 3], Endpoint("h", n)) for n in range(195)]
-        relays, first = {}, []
+        relays, first = {}, set()
         for peer in peers:
             bus = Peers(peer.vm, peer.failure_domain, {}, StubLog())
             bus.set_peers(peers)
             relay = bus._select_relay(MIRRORS)
             relays[peer.vm] = relay and relay.vm
-            if bus.is_first_mirror_relay():
-                first.append(peer.vm)
-        (root,) = [vm for vm, relay in relays.items() if relay is None]
-        self.assertEqual(first, [root])
+            if bus.is_mirror_relay_of_fleet():
+                first.add(peer.vm)
+        self.assertEqual(first, {vm for vm, relay in relays.items() if relay is None})
+        self.assertEqual(len(first), 2)
         for vm in relays:
             hops = 0
-            while vm != root:
+            while vm not in first:
                 vm = relays[vm]
                 hops += 1
             self.assertLessEqual(hops, 2)
+
+    async def test_a_proxy_that_knows_no_other_is_no_relay(self):
+        bus = Peers("vm", "a", {}, StubLog())
+        bus.set_peers([Peer("vm", "a", Endpoint("h", 1))])
+        self.assertFalse(bus.is_mirror_relay_of_fleet())
