Start short watches at a revision that has settled

Callers would see a change late on one proxy: a store that is about to drop its history answers watches without the last changes for a second. An empty answer's revision counts them, so a watch from it is not refused after the drop, and the change is missed until the next one. A watch that is waiting is cut then, and lists; with an answer a second, the gap between two watches is met about as often as its round trip is part of that second.

A short watch starts at a revision that is 3 s old, within any history; it is refused then, and lists.

--- a/src/rosemaryridge/core/_store_mirror.py
+++ b/src/rosemaryridge/core/_store_mirror.py
@@ -1,6 +1,7 @@
 """Mirror the objects of one kind from the store."""
 
 import asyncio
+import collections
 import random
 import typing as t
 
@@ -21,6 +22,9 @@
 _MAX_AGE_S = 4.2
 # A watch that has waited for this long should have reported a change that is known.
 _WATCH_ANSWER_S = 1.0
+# A store that is about to drop its history may answer a watch without the last changes.
+# Short watches start at a revision that is this old, so that they are refused then.
+_SETTLED_AGE_S = 3.0
 # A mirror that waits for another one's probe calls the store itself after this.
 _PROBE_WAIT_S = 5.0
 # Delay after a change until the next watch; a third of the 3 s within which the
@@ -128,6 +132,10 @@
         self._log = log
         self._rng = rng
         self._revision: int | None = None
+        # The revision that the next watch starts from, and those of later answers
+        # without changes with the times at which they came.
+        self._since = 0
+        self._unchanged: collections.deque[tuple[float, int]] = collections.deque()
         # The last revision that may have changed an object of this kind.
         self.changed_revision = 0
         # The objects seen since the last list, removed ones included.
@@ -182,18 +190,20 @@
             self._record_list(listing)
             self._on_list(listing.objects)
             return True
-        answer = await self._watch(self._revision)
+        answer = await self._watch(self._since)
         if answer is None or self._revision is None:
             # The watch was renewed, or a restored store counts its revisions anew.
             return False
         changes, self._revision = answer
         if not changes:
+            self._record_unchanged(self._revision)
             # The store answered no sooner than the wait ended, unless it cut it short.
             waited_until = self._watch_sent_at + self._watch_wait_s
             if boottime() >= waited_until:
                 self._advance(waited_until)
             return True
         self._advance(self._watch_sent_at)
+        self._restart_from(self._revision)
         self.changed_revision = self._revision
         for change in changes:
             self._names.add(change.object.name)
@@ -206,6 +216,7 @@
     def _record_list(self, listing: t.Any) -> None:
         revisions = {obj.name: obj.revision for obj in listing.objects}
         self._revision = listing.revision
+        self._restart_from(listing.revision)
         if self._names <= revisions.keys():
             self.changed_revision = max(revisions.values(), default=0)
         else:
@@ -213,6 +224,20 @@
             self.changed_revision = listing.revision
         self._names = set(revisions)
 
+    def _restart_from(self, revision: int) -> None:
+        self._since = revision
+        self._unchanged.clear()
+
+    def _record_unchanged(self, revision: int) -> None:
+        if self._watch_wait_s == _WATCH_WAIT_S:
+            # Older revisions may have left the history meanwhile.
+            self._restart_from(revision)
+            return
+        now = boottime()
+        self._unchanged.append((now, revision))
+        while self._unchanged[0][0] <= now - _SETTLED_AGE_S:
+            self._since = self._unchanged.popleft()[1]
+
     async def _watch(self, revision: int) -> t.Any:
         """Return the store's answer to a watch, None if it was ended."""
         loop = asyncio.get_running_loop()
