Keep a paused proxy from being declared dead while its test runs

Traced: a proxy that does not respond is declared dead 4 s after it was paused, and then rightly no longer listed as one that owes an answer; the command took longer to start.

--- a/tests/integration/test_ctl.py
+++ b/tests/integration/test_ctl.py
@@ -17,7 +17,8 @@
 
 
 class CtlTest(FleetCase):
-    options = FleetOptions(proxies=3)
+    # A paused proxy is not declared dead before a slow machine has run the command.
+    options = FleetOptions(proxies=3, settings={"membership": {"confirm_s": 60.0}})
 
     async def ctl(self, vm: str, *args: str) -> tuple[int, str]:
         """Run the program against a proxy; return its exit status and output."""
