--- a/tests/test_mirror_monitor.py
+++ b/tests/test_mirror_monitor.py
@@ -193,6 +193,14 @@
         await self.until(lambda: len(self.store.waits) == 2)
         self.assertFalse(self.mirror.reachable)
 
+    async def test_a_machine_that_was_suspended_renews_its_watch(self):
+        self.mirror.confirm(5, boottime())
+        resumed_at = boottime() + 60.0
+        with mock.patch.object(_store_mirror, "boottime", lambda: resumed_at):
+            self.mirror.check(False)
+            await self.until(lambda: len(self.store.waits) == 2)
+        self.assertEqual(self.store.waits, [LONG_S, SHORT_S])
+
     async def test_a_mirror_that_others_rely_on_watches_shortly(self):
         self.mirror.check(True)
         await self.until(lambda: len(self.store.waits) > 3)
