Review case 1: statements run with the session values of others

Cause: a statement is sent together with the SET before it; if the SET is refused, the statement runs all the same and its answer counts.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,14 +1,15 @@
-"""A machine is restarted while the primary is partitioned from its replicas and store.
+"""A backend fails part of its requests, while its health is good.
 
-The platform does not check fences (`enforce_fencing` false), so a deposed primary that
-nobody has told goes on.
+It answers reads and writes that it fails with FAILED, all others with BUSY: no run.
+
+Sessions of several requesters share the system's connections, each with its own value
+of the same name.
 """
 
 import asyncio
 import os
 import pathlib
 import secrets
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
@@ -19,162 +20,93 @@
 from standins import Site
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HEARTBEAT_S = 1.2
-# The largest length of a `primary_cut` in the site file.
-CUT_S = 5.0
-# The primary's last report came this long before the cut; its entry is removed after
-# three intervals of silence.
-LAST_REPORT_S = 1.1
-PROMOTE_S = 0.3
-MACHINES = 18
-# Pauses inside a transaction and between two.
-THINK_S = 0.45
+GREY_SHARE = 0.45
+GREY_S = 6.5
+SESSIONS = 6
 PAUSE_S = 0.05
 
 
 class Check:
-    """Collect the acknowledged writes."""
+    """Hold the values that were acknowledged to the requester of each statement."""
 
     def __init__(self) -> None:
-        self.acknowledged: dict[str, float] = {}
+        self.values: dict[str, dict[str, str]] = {}
+        self.answers: dict[str, str] = {}
         self.stop = False
 
+    def may_go_on(self, requester: Requester) -> bool:
+        """Return whether a session may send another statement."""
+        return not self.stop and not requester.has_message()
+
 
-async def write_on(site: Site, name: str, wait_s: float, check: Check) -> None:
-    """Run transactions on one machine: BEGIN, WRITE, a pause, COMMIT."""
-    await asyncio.sleep(wait_s)
+async def run_session(site: Site, port: int, number: int, check: Check) -> None:
+    """Set a value, then read and write by single statements; open anew as needed."""
     serial = 0
     while not check.stop:
-        requester = Requester(f"requester-{name}", site.record)
-        if not await requester.open(site.fronts[name], "prim"):
+        requester = Requester(f"requester-{number}", site.record)
+        if not await requester.open(port, "prim"):
             await asyncio.sleep(0.05)
             continue
         try:
-            while not check.stop and not requester.has_message():
+            # Each requester uses its own value of the same name.
+            value = f"v{number}"
+            await requester.ask(f"SET area {value}")
+            while check.may_go_on(requester):
                 serial += 1
-                write, commit = secrets.token_hex(8), secrets.token_hex(8)
-                reply = await requester.ask("BEGIN")
-                if reply.code == "COMPLETE":
-                    text = f"WRITE item-{name} d{serial}"
-                    reply = await requester.ask(text, write)
-                if reply.code == "COMPLETE":
-                    await asyncio.sleep(THINK_S)
-                    reply = await requester.ask("COMMIT", commit)
-                    if reply.code == "COMPLETE":
-                        check.acknowledged[write] = site.record.now()
-                if reply.state != "I":
-                    await requester.ask("ROLLBACK")
+                id_ = secrets.token_hex(8)
+                check.values[id_] = {"area": value}
+                text = f"WRITE item{number} d{serial}" if serial % 2 else "READ item0"
+                reply = await requester.ask(text, id_)
+                check.answers[id_] = reply.code
                 await asyncio.sleep(PAUSE_S)
         except Cut:
             pass
         requester.close()
 
 
-async def measure_startup(site: Site, name: str) -> float:
-    """Start a machine's process; return the time until it lists the backends."""
-    started_at = site.record.now()
-    await site.start_process(name)
-    port = site.store_ports[name]
-    while port not in site.store.first_listed:
-        await asyncio.sleep(0.005)
-    return site.store.first_listed[port] - started_at
-
-
-async def wait_until(site: Site, at: float) -> None:
-    """Sleep until a time of the record."""
-    await asyncio.sleep(max(0.0, at - site.record.now()))
-
-
-async def partition(site: Site, cut_at: float) -> None:
-    """Partition the primary from the other backends and the store for a while."""
-    primary = site.backends[0]
-    await wait_until(site, cut_at)
-    site.record.write("site", f"{primary.name} is partitioned")
-    primary.cut_off = True
-    await wait_until(site, cut_at - LAST_REPORT_S + 3 * HEARTBEAT_S)
-    site.store.remove("servers", primary.name)
-    await wait_until(site, cut_at + CUT_S)
-    site.record.write("site", f"{primary.name} is no longer partitioned")
-    primary.heal()
-
-
-async def restart(site: Site, name: str, start_at: float) -> None:
-    """Stop a machine's process and start it again; return once it is ready."""
-    # The process ends about 2.6 s after SIGTERM and is started again soon after.
-    await wait_until(site, start_at - 3.2)
-    site.signal(name, signal.SIGTERM)
-    await site.processes[name].wait()
-    site.record.write(name, "process ended")
-    await wait_until(site, start_at)
-    await site.start_process(name)
-    while not await site.is_ready(name):
-        await asyncio.sleep(0.05)
-
-
-async def play(site: Site, check: Check, tasks: list[asyncio.Task]) -> bool:
-    """Play the case; return whether it could run."""
-    await site.start()
-    for backend in site.backends:
-        backend.work_s = 0.003
-    restarted, *others = site.machines
-    # How long a process takes from its start to its first list of the backends.
-    startup_s = await measure_startup(site, restarted)
-    if not await site.start_all():
-        return False
-    await asyncio.sleep(4.0)
-    tasks += [
-        asyncio.create_task(write_on(site, name, 0.032 * number, check))
-        for number, name in enumerate(others)
-    ]
-    await asyncio.sleep(2.0)
-    cut_at = site.record.now() + 3.0
-    removed_at = cut_at - LAST_REPORT_S + 3 * HEARTBEAT_S
-    if TROUBLE:
-        tasks.append(asyncio.create_task(partition(site, cut_at)))
-    # It lists the backends right after the primary's entry has been removed.
-    await restart(site, restarted, removed_at - startup_s + 0.2)
-    tasks.append(asyncio.create_task(write_on(site, restarted, 0.0, check)))
-    await wait_until(site, cut_at + CUT_S + 4.0)
-    check.stop = True
-    await asyncio.sleep(1.5)
-    return True
-
-
 async def main() -> int:
     """Return 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     record = Record(pathlib.Path(__file__).resolve().parent / "record.txt")
-    site = Site(
-        record,
-        machines=MACHINES,
-        fenced=False,
-        promote_s=PROMOTE_S,
-        max_conns=36,
-        slots=2,
-    )
+    site = Site(record, machines=2, fenced=False, max_conns=36, slots=2)
     check = Check()
     tasks: list[asyncio.Task] = []
     try:
-        if not await play(site, check, tasks):
+        await site.start()
+        if not await site.start_all():
             return 2
+        await asyncio.sleep(4.0)
+        port = site.fronts[site.machines[0]]
+        tasks = [
+            asyncio.create_task(run_session(site, port, number, check))
+            for number in range(SESSIONS)
+        ]
+        await asyncio.sleep(3.0)
+        grey = site.backends[0]
+        if TROUBLE:
+            record.write("site", f"{grey.name} fails a share of {GREY_SHARE}")
+            grey.grey_share = GREY_SHARE
+        await asyncio.sleep(GREY_S)
+        record.write("site", f"{grey.name} works again")
+        grey.grey_share = 0.0
+        await asyncio.sleep(2.0)
+        check.stop = True
+        await asyncio.sleep(1.5)
     finally:
         for task in tasks:
             task.cancel()
         await site.stop()
-    deposed = site.group.committed_by_deposed
-    kept = {commit.id for commit in site.group.backends[site.group.primary].log}
-    broken = [id_ for id_ in check.acknowledged if id_ in deposed]
-    for id_ in broken:
-        record.write(
-            "check",
-            f"ONE: write {id_} was committed at the old primary after the promote had "
-            f"taken effect and acknowledged at {check.acknowledged[id_]:.4f}; in the "
-            f"leader's log at the end: {id_ in kept}",
-        )
+    broken = 0
+    for id_, backend, values in site.group.ran:
+        wanted = check.values.get(id_)
+        if wanted is not None and values != wanted:
+            broken += 1
+            record.write(
+                "check",
+                f"PINNED: {id_} ran on {backend} with {values}, acknowledged to its "
+                f"requester: {wanted}; answered {check.answers.get(id_)}",
+            )
     record.write(
-        "check",
-        f"{len(check.acknowledged)} writes acknowledged, {len(site.orders)} promotions "
-        f"ordered, {len(deposed)} writes committed at the old primary afterwards, "
-        f"{len(broken)} of them acknowledged",
+        "check", f"{len(site.group.ran)} statements ran, {broken} with other values"
     )
     print(record.last)
     record.close()
--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import signal
 import socket
@@ -29,7 +30,10 @@
     "bound": ("bounded_staleness", 2000, 1200, 2, 1500),
     "own": ("read_your_writes", 1000, 1000, 2, 2500),
 }
-PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
+# What a backend that fails part of its requests answers well: how it is, and the end of
+# a transaction.
+_WORK = ("READ", "WRITE", "EXECUTE", "COMMIT")
+_NEVER_GREY = ("STATUS", "STEPDOWN", "ROLLBACK")
 
 
 class Record:
@@ -317,6 +321,8 @@
         self.backends: dict[str, Backend] = {}
         # The ids of writes that a deposed primary committed.
         self.committed_by_deposed: set[str] = set()
+        # Each statement of a requester that ran, with the session values it ran with.
+        self.ran: list[tuple[str, str, dict[str, str]]] = []
 
     async def promote(self, name: str) -> None:
         """Let a backend lead the next term with what it has received."""
@@ -358,6 +364,9 @@
         # Partitioned from the other backends and the store.
         self.cut_off = False
         self.leads_old_term: int | None = None
+        # The share of requests that it fails.
+        self.grey_share = 0.0
+        self._rng = random.Random(1)
         self.report: t.Callable[[], None] = lambda: None
         self._slots = asyncio.Semaphore(slots)
         self._waiting = 0
@@ -472,6 +481,11 @@
         word, _, rest = text.partition(" ")
         if conn.failed and word not in ("ROLLBACK", "COMMIT"):
             raise Refused("MALFORMED")
+        if word not in _NEVER_GREY and self._rng.random() < self.grey_share:
+            if id_ == "-":
+                self.group.record.write(self.name, f"fails {text[:60]}")
+            # BUSY: there was no run, so no value is set.
+            raise Refused("FAILED" if word in _WORK else "BUSY")
         if word == "BEGIN":
             if rest != "READ" and not self.leads:
                 raise Refused("READONLY")
@@ -508,6 +522,7 @@
             if name not in conn.prepared:
                 raise Refused("NOSTMT")
             word = conn.prepared[name][0]
+        self.group.ran.append((id_, self.name, dict(conn.values)))
         return await self._work(conn, id_, word, rest)
 
     async def _work(
