--- a/review/standins.py
+++ b/review/standins.py
@@ -487,6 +487,8 @@
             # BUSY: there was no run, so no value is set.
             raise Refused("FAILED" if word in _WORK else "BUSY")
         if word == "BEGIN":
+            if conn.transaction is not None:
+                raise Refused("MALFORMED")
             if rest != "READ" and not self.leads:
                 raise Refused("READONLY")
             conn.transaction = "read" if rest == "READ" else "plain"
@@ -629,6 +631,7 @@
         record: Record,
         *,
         machines: int = 3,
+        zones: int = 1,
         fenced: bool = True,
         promote_s: float = 0.3,
         slots: int = 3,
@@ -645,6 +648,7 @@
         self.fenced = fenced
         self.orders: list[tuple[float, str, int, str]] = []
         self.machines = [f"front-a-{n}" for n in range(1, machines + 1)]
+        self._zones = {f"zone-{n}": f"region-{n}" for n in range(zones)}
         self.fronts: dict[str, int] = {}
         self.readies: dict[str, int] = {}
         self.store_ports: dict[str, int] = {}
@@ -716,7 +720,7 @@
             {
                 "service": self.service,
                 "address": backend.address,
-                "zone": "khomas-a",
+                "zone": "zone-0",
                 "version": "v1",
                 "capacity": 3,
                 "phase": "draining" if backend.draining else "ready",
@@ -764,15 +768,16 @@
         self.store.write("config", "main", spec)
 
     def _write_settings(self, name: str, ports: tuple[int, int]) -> None:
+        zone = f"zone-{self.machines.index(name) % len(self._zones)}"
         data = {
             "node_name": name,
             "role": "entry",
             "machine_class": "front",
             "serves": ["front"],
             "ip": HOST,
-            "zone": "khomas-a",
-            "region": "khomas",
-            "zones": {"khomas-a": "khomas"},
+            "zone": zone,
+            "region": self._zones[zone],
+            "zones": self._zones,
             "bind_addrs": {
                 "front": f"{HOST}:{self.fronts[name]}",
                 "ready": f"{HOST}:{self.readies[name]}",
