--- a/review/standins.py
+++ b/review/standins.py
@@ -68,11 +68,23 @@
         self._file.close()
 
 
+_taken: set[int] = set()
+
+
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that nothing uses."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a port that nothing uses, below those of outgoing connections."""
+    while True:
+        port = random.randint(21_000, 31_000)
+        if port in _taken:
+            continue
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        _taken.add(port)
+        return port
 
 
 # ---------------------------------------------------------------- HTTP
