--- a/review/standins.py
+++ b/review/standins.py
@@ -317,6 +317,10 @@
     """Answer a statement with an error."""
 
 
+class NotRun(Refused):
+    """Answer a statement that is not run; all stays as it was."""
+
+
 class Group:
     """What the backends of one service share."""
 
@@ -378,6 +382,8 @@
         self.leads_old_term: int | None = None
         # The share of requests that it fails.
         self.grey_share = 0.0
+        # The share of ROLLBACKs that it refuses: no run, the transaction stays open.
+        self.kept_open_share = 0.0
         self._rng = random.Random(1)
         self.report: t.Callable[[], None] = lambda: None
         self._slots = asyncio.Semaphore(slots)
@@ -467,7 +473,8 @@
                     lines = [f"DATAROW {row}" for row in rows]
                     lines.append(f"COMPLETE {signature}")
                 except Refused as exc:
-                    conn.failed = conn.transaction is not None
+                    if not isinstance(exc, NotRun):
+                        conn.failed = conn.transaction is not None
                     lines = [f"ERROR {exc} {self.name}"]
                 state = "I"
                 if conn.transaction is not None:
@@ -498,6 +505,9 @@
                 self.group.record.write(self.name, f"fails {text[:60]}")
             # BUSY: there was no run, so no value is set.
             raise Refused("FAILED" if word in _WORK else "BUSY")
+        if word == "ROLLBACK" and self._rng.random() < self.kept_open_share:
+            self.group.record.write(self.name, f"refuses {id_} ROLLBACK")
+            raise NotRun("BUSY")
         if word == "BEGIN":
             if conn.transaction is not None:
                 raise Refused("MALFORMED")
