Keep one odd entry of the store from hiding the others

What was seen: an entry nested 100,000 deep or with a number of 6,000 digits made each list and watch that held it fail, as if the store were away; a proxy's entry with a number too large ended each process that read it, again at each start; a port out of range, a deep or long field and a claim of another type escaped the handlers of single entries. Cause: answers were decoded whole, and entries without bounds. An unreadable target is missing in changes as in lists. An unreadable claim leases to nobody, and the next fence is above all that it may hide.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -1,6 +1,7 @@
 """Run the proxy of one entry VM on the users' platform."""
 
 import asyncio
+import functools
 import os
 import random
 import signal
@@ -27,6 +28,7 @@
 from rosemaryridge.core.owners import OwnersMode
 from rosemaryridge.core.owners import direct_share
 from rosemaryridge.core.quotas import QuotaPolicy
+from rosemaryridge.core.store import UnreadableEntries
 from rosemaryridge.core.zones import Surroundings
 from rosemaryridge.exceptions import SettingsError
 from rosemaryridge.exceptions import StoreError
@@ -90,7 +92,12 @@
         self._log = log
         rng = random.Random()
         self._era = StoreEra(log)
-        self._store = Store(cfg.store, self._era)
+        self._unreadable = UnreadableEntries(log)
+        self._store = Store(
+            cfg.store,
+            self._era,
+            functools.partial(self._unreadable.report, "object_unreadable"),
+        )
         self._promotions = PromotionClient(cfg.promotions, cfg.vm)
         shares = Shares()
         self._failover = Failover(
@@ -434,7 +441,8 @@
             try:
                 config = documents.decode_config(stored.spec)
             except documents.UnreadableDocument as exc:
-                self._log.write("config_unreadable", reason=str(exc))
+                # The version in force stays.
+                self._report_unreadable("config_unreadable", "config", stored, exc)
                 continue
             self._proxy.adopt_config(config)
             self._update_owners()
@@ -451,16 +459,22 @@
         info = None if change.removed else self._decode_target(change.object)
         if info is not None:
             self._proxy.directory.put(info)
-        elif change.removed:
+        else:
+            # As in a list, an entry that cannot be read names no target.
             self._proxy.directory.remove(change.object.name)
 
     def _decode_target(self, stored: StoredObject) -> TargetInfo | None:
         try:
             return documents.decode_target(stored.name, stored.spec)
         except documents.UnreadableDocument as exc:
-            self._log.write("target_unreadable", reason=str(exc))
+            self._report_unreadable("target_unreadable", "target", stored, exc)
             return None
 
+    def _report_unreadable(
+        self, event: str, kind: str, stored: StoredObject, exc: ValueError
+    ) -> None:
+        self._unreadable.report(event, kind, stored.name, stored.revision, str(exc))
+
     def _on_proxies_listed(self, entries: dict[str, t.Any]) -> None:
         self._proxy.set_proxy_count(max(1, len(entries)))
         peers = (self._decode_peer(vm, spec) for vm, spec in entries.items())
@@ -471,17 +485,9 @@
 
     def _decode_peer(self, vm: str, spec: t.Any) -> Peer | None:
         try:
-            endpoint = Endpoint.parse(spec["address"])
-            return Peer(
-                vm,
-                str(spec["failure_domain"]),
-                endpoint,
-                int(spec.get("stream_port", 0)),
-                float(spec.get("weight", 1.0)),
-                int(spec.get("protocol", 1)),
-            )
-        except (KeyError, TypeError, ValueError, AttributeError) as exc:
-            self._log.write("proxy_unreadable", proxy=vm, reason=repr(exc))
+            return Peer.decode(vm, spec)
+        except ValueError as exc:
+            self._unreadable.report("proxy_unreadable", "proxy", vm, 0, str(exc))
             return None
 
     def _reload(self) -> None:
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -22,9 +22,11 @@
 from rosemaryridge.core._successor import reason_to_wait
 from rosemaryridge.core._target import Target
 from rosemaryridge.core.store import CLAIMS_KIND
+from rosemaryridge.core.store import NO_CLAIM
 from rosemaryridge.core.store import PROMOTION_DELAY_S
 from rosemaryridge.core.store import Claim
 from rosemaryridge.core.store import StoreEra
+from rosemaryridge.core.store import hidden_fence
 from rosemaryridge.core.store import next_fence
 from rosemaryridge.exceptions import FenceRefused
 from rosemaryridge.exceptions import OrderExpired
@@ -362,7 +364,12 @@
 
     async def _read_claim(self, group: Group, stale: bool = False) -> tuple[Claim, int]:
         stored = await self._store.get(CLAIMS_KIND, group.service, stale=stale)
-        return Claim.decode(stored.spec), stored.revision
+        claim = Claim.decode(stored.spec)
+        if claim is NO_CLAIM and stored.revision:
+            # Another proxy's claim may be under it, which is awaited as a new one.
+            fence = hidden_fence(stored.revision, self._era.current)
+            claim = dataclasses.replace(NO_CLAIM, fence=fence, term=group.term)
+        return claim, stored.revision
 
     def _is_blocked_by(self, group: Group, claim: Claim, revision: int) -> bool:
         """Return whether another proxy's claim must be awaited.
--- a/src/rosemaryridge/core/_peers.py
+++ b/src/rosemaryridge/core/_peers.py
@@ -35,6 +35,7 @@
 from rosemaryridge.core.store import MirrorListing
 from rosemaryridge.core.store import MirrorMonitor
 from rosemaryridge.core.store import Update
+from rosemaryridge.model import MAX_PORT
 from rosemaryridge.model import Endpoint
 from rosemaryridge.model import Position
 
@@ -61,6 +62,8 @@
 _ASKER_EXPIRY_S = 2.0
 # Changes that fit in a datagram of this length, after compression, are passed on.
 _MAX_CHANGES_BYTES = 8000
+# Larger than the processor cores of any VM, which weights are.
+_MAX_WEIGHT = 10_000.0
 # A relay that leaves a request for changes unanswered may run an earlier build than
 # its entry tells: it is asked in the former way for this long. More often it was
 # starting, and every change that it does not pass on costs a call to the store.
@@ -82,6 +85,28 @@
     weight: float = 1.0
     protocol: int = 1
 
+    @classmethod
+    def decode(cls, vm: str, spec: t.Any) -> "Peer":
+        """Return a proxy's entry in the store; raise ValueError."""
+        try:
+            peer = cls(
+                vm,
+                spec["failure_domain"],
+                Endpoint.parse(spec["address"]),
+                int(spec.get("stream_port", 0)),
+                float(spec.get("weight", 1.0)),
+                int(spec.get("protocol", 1)),
+            )
+        except (KeyError, TypeError, AttributeError, OverflowError) as exc:
+            raise ValueError(f"invalid entry: {exc!r}") from exc
+        if not isinstance(peer.failure_domain, str):
+            raise ValueError("invalid failure domain")
+        if not 0 <= peer.stream_port <= MAX_PORT:
+            raise ValueError("invalid port of streams")
+        if not 0.0 <= peer.weight <= _MAX_WEIGHT:
+            raise ValueError("invalid weight")
+        return peer
+
 
 def choose_relays(
     subject: str, peers: t.Iterable[Peer], failure_domain: str | None = None
@@ -406,8 +431,12 @@
             # A configuration holds the keys of callers: only listed proxies get it.
             self._askers[addr] = self._loop.time()
             updates = self.mirrors.updates_after(request.known)
-        data = encode(ChangesReply(request.number, era, states, updates))
-        if len(data) > _MAX_CHANGES_BYTES:
+        try:
+            data = encode(ChangesReply(request.number, era, states, updates))
+        except RecursionError:
+            # An entry is nested deeper than can be encoded, though it was decoded.
+            data = b""
+        if not data or len(data) > _MAX_CHANGES_BYTES:
             # The states show the other proxy that it has to ask the store.
             data = encode(ChangesReply(request.number, era, states, {}))
         self._transport.sendto(data, addr)
--- a/src/rosemaryridge/core/store/__init__.py
+++ b/src/rosemaryridge/core/store/__init__.py
@@ -12,6 +12,7 @@
 from rosemaryridge.core.store._claims import ClaimCache
 from rosemaryridge.core.store._claims import ClaimedTarget
 from rosemaryridge.core.store._claims import ClaimListing
+from rosemaryridge.core.store._claims import hidden_fence
 from rosemaryridge.core.store._era import FENCES_PER_ERA
 from rosemaryridge.core.store._era import StoreEra
 from rosemaryridge.core.store._era import next_fence
@@ -20,6 +21,7 @@
 from rosemaryridge.core.store._monitor import MirrorListing
 from rosemaryridge.core.store._monitor import MirrorMonitor
 from rosemaryridge.core.store._monitor import MirrorState
+from rosemaryridge.core.store._unreadable import UnreadableEntries
 
 __all__ = [
     "CLAIMS_KIND",
@@ -40,6 +42,8 @@
     "RetryGate",
     "StoreEra",
     "StoreMirror",
+    "UnreadableEntries",
     "Update",
+    "hidden_fence",
     "next_fence",
 ]
--- a/src/rosemaryridge/core/store/_claims.py
+++ b/src/rosemaryridge/core/store/_claims.py
@@ -11,6 +11,7 @@
 
 from rosemaryridge.core._boottime import boottime
 from rosemaryridge.core._event_log import EventLog
+from rosemaryridge.core.store._era import FENCES_PER_ERA
 from rosemaryridge.core.store._era import StoreEra
 from rosemaryridge.exceptions import StoreError
 
@@ -29,6 +30,10 @@
 _PENDING_ORDERS_S = 3.0
 # Delay after a failed read until the store is called again; each call is billed.
 _RETRY_S = 1.0
+# Fences and terms count promotions.
+_MAX_COUNT = 2**53
+# Names no target: a claim that cannot be read leases to none.
+_UNREADABLE_TARGET = "?"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,20 +54,34 @@
     def decode(cls, spec: t.Any) -> "Claim":
         """Return a stored claim; NO_CLAIM for a spec that cannot be decoded."""
         try:
-            return cls(
+            claim = cls(
                 int(spec["fence"]),
                 spec["holder"],
                 int(spec["term"]),
                 spec["target"],
                 spec.get("deposed", ""),
             )
-        except (KeyError, TypeError, ValueError):
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
             return NO_CLAIM
+        names = (claim.holder, claim.target, claim.deposed)
+        counts = (claim.fence, claim.term)
+        is_valid = all(isinstance(name, str) for name in names) and all(
+            0 <= count <= _MAX_COUNT for count in counts
+        )
+        return claim if is_valid else NO_CLAIM
 
 
 NO_CLAIM = Claim(0, "", -1, "")
 
 
+def hidden_fence(revision: int, era: int | None) -> int:
+    """Return a fence that none is above which an unreadable claim may hide.
+
+    Each claim raises the fence by one, and the store's revision by one or more.
+    """
+    return FENCES_PER_ERA * (era or 0) + revision
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimedTarget:
     """Hold what proxies need of a claim: whom it promotes, after which term."""
@@ -216,9 +235,13 @@
             self.failing = True
             self._log.write("claims_unreadable", reason=repr(exc))
             return
-        claims = {obj.name: Claim.decode(obj.spec) for obj in stored.objects}
-        targets = {
-            service: ClaimedTarget(claim.fence, claim.term, claim.target)
-            for service, claim in claims.items()
-        }
-        self.record(ClaimListing(targets, requested_at))
+        claims = {obj.name: self._claimed_target(obj) for obj in stored.objects}
+        self.record(ClaimListing(claims, requested_at))
+
+    def _claimed_target(self, stored: t.Any) -> ClaimedTarget:
+        claim = Claim.decode(stored.spec)
+        if claim is not NO_CLAIM:
+            return ClaimedTarget(claim.fence, claim.term, claim.target)
+        era = self._era.current if self._era is not None else None
+        fence = hidden_fence(stored.revision, era)
+        return ClaimedTarget(fence, NO_CLAIM.term, _UNREADABLE_TARGET)
--- a/src/rosemaryridge/model.py
+++ b/src/rosemaryridge/model.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+MAX_PORT = 65_535
+
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Position:
@@ -55,7 +57,10 @@
         host, _, port = text.rpartition(":")
         if not host:
             raise ValueError(f"invalid address {text!r}: expected host:port")
-        return cls(host, int(port))
+        number = int(port)
+        if not 0 <= number <= MAX_PORT:
+            raise ValueError(f"invalid port in address {text!r}")
+        return cls(host, number)
 
 
 def target_key(service: str, target: str) -> str:
--- a/src/rosemaryridge/platform/documents.py
+++ b/src/rosemaryridge/platform/documents.py
@@ -1,6 +1,7 @@
 """Decode the documents of the platform's store into the project's types."""
 
 import json
+import socket
 import typing as t
 
 from rosemaryridge.core import ConfigDraft
@@ -23,6 +24,11 @@
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 _DRAINING_BY_PHASE = {"ready": False, "draining": True}
 _PRIMARY_BY_ROLE = {"primary": True, "replica": False}
+# Statements that a target may run at a time, milliseconds, and counts: larger values
+# are no ones that a target reports.
+_MAX_SLOTS = 1_000_000
+_MAX_NUMBER = 2**53
+_MAX_NAME_CHARS = 256
 
 
 class UnreadableDocument(ValueError):
@@ -91,13 +97,25 @@
     return business, tuple(map(_require_str, tenant["api_keys"]))
 
 
-def _require_amount(value: t.Any) -> float:
+def _require_amount(
+    value: t.Any, least: float = 0.0, most: float = _MAX_NUMBER
+) -> float:
     amount = float(value)
-    if not 0.0 <= amount < float("inf"):
-        raise ValueError(f"{value!r} is not an amount")
+    if not least <= amount <= most:
+        raise ValueError(f"expected {least:g} to {most:g}, got {amount:g}")
     return amount
 
 
+def _require_endpoint(value: t.Any) -> Endpoint:
+    """Return an address that a connection can be opened to; names are not resolved."""
+    endpoint = Endpoint.parse(_require_str(value))
+    try:
+        socket.inet_pton(socket.AF_INET, endpoint.host)
+    except OSError as exc:
+        raise ValueError("expected an IPv4 address") from exc
+    return endpoint
+
+
 def decode_target(name: str, spec: t.Any) -> TargetInfo:
     """Return a target's registration; raise UnreadableDocument."""
     try:
@@ -105,22 +123,30 @@
             raise UnreadableDocument(f"target {name}: 'born' is not an integer")
         return TargetInfo(
             name,
-            _require_str(spec["service"]),
-            Endpoint.parse(spec["address"]),
-            _require_str(spec["zone"]),
+            _require_name(spec["service"]),
+            _require_endpoint(spec["address"]),
+            _require_name(spec["zone"]),
             # "capacity" on the wire is the number of concurrent statements.
-            int(spec["capacity"]),
-            spec["born"],
+            int(_require_amount(spec["capacity"], 1, _MAX_SLOTS)),
+            int(_require_amount(spec["born"])),
             _DRAINING_BY_PHASE[spec["phase"]],
             _PRIMARY_BY_ROLE[spec["db_role"]],
-            float(spec.get("warmup_left_ms") or 0.0) / 1000.0,
-            int(spec.get("sequence") or 0),
+            _require_amount(spec.get("warmup_left_ms") or 0.0) / 1000.0,
+            int(_require_amount(spec.get("sequence") or 0)),
         )
     except DECODE_ERRORS as exc:
         raise UnreadableDocument(f"target {name}: invalid document: {exc!r}") from exc
 
 
+def _require_name(value: t.Any) -> str:
+    name = _require_str(value)
+    if len(name) > _MAX_NAME_CHARS:
+        raise ValueError(f"a name of {len(name)} characters")
+    return name
+
+
 def _require_str(value: t.Any) -> str:
     if not isinstance(value, str):
-        raise ValueError(f"{value!r} is not a string")
+        # The value may be too deep or too long for a message.
+        raise ValueError(f"expected a string, got {type(value).__name__}")
     return value
--- a/src/rosemaryridge_testbed/site/__init__.py
+++ b/src/rosemaryridge_testbed/site/__init__.py
@@ -6,11 +6,13 @@
 from rosemaryridge_testbed.site._site import SiteBusiness
 from rosemaryridge_testbed.site._site import SiteOptions
 from rosemaryridge_testbed.site._store import MetadataStore
+from rosemaryridge_testbed.site._store import RawJson
 from rosemaryridge_testbed.site._target import SiteTarget
 
 __all__ = [
     "Client",
     "MetadataStore",
+    "RawJson",
     "Reply",
     "Site",
     "SiteBusiness",
--- a/src/rosemaryridge_testbed/site/_store.py
+++ b/src/rosemaryridge_testbed/site/_store.py
@@ -20,6 +20,31 @@
     revision: int
 
 
+class RawJson(t.NamedTuple):
+    """Hold a value as the text that answers contain, which readers may refuse."""
+
+    text: str
+
+
+def _respond(data: t.Any, status: int = 200) -> web.Response:
+    """Return a JSON response; values of type `RawJson` are written as they are."""
+    raw: dict[str, str] = {}
+
+    def hold(value: t.Any) -> t.Any:
+        if isinstance(value, RawJson):
+            name = f"raw-json-{len(raw)}"
+            raw[f'"{name}"'] = value.text
+            return name
+        if isinstance(value, dict):
+            return {key: hold(item) for key, item in value.items()}
+        return [hold(item) for item in value] if isinstance(value, list) else value
+
+    text = json.dumps(hold(data))
+    for name, value in raw.items():
+        text = text.replace(name, value)
+    return web.Response(text=text, status=status, content_type="application/json")
+
+
 class MetadataStore:
     """Store objects and their history; `fault` is the fault injected into requests.
 
@@ -162,7 +187,7 @@
             "has_more": len(items) > self._page_size,
             "store_revision": self.revision,
         }
-        return web.json_response(page)
+        return _respond(page)
 
     async def _watch(self, kind: str, request: web.Request) -> web.Response:
         since = int(request.query["watch"])
@@ -178,7 +203,7 @@
             left_s = until - time.monotonic()
             if events or left_s <= 0:
                 body = {"events": events, "store_revision": self.revision}
-                return web.json_response(body)
+                return _respond(body)
             changed_event = self._changed
             try:
                 async with asyncio.timeout(left_s):
@@ -190,16 +215,16 @@
         item = self._find_object(request)
         if item is None:
             return web.Response(status=404)
-        return web.json_response(item)
+        return _respond(item)
 
     async def _create(self, request: web.Request) -> web.Response:
         body = json.loads(await request.read())
         kind, name = request.match_info["kind"], body["meta"]["name"]
         stored = self.objects.get(kind, {}).get(name)
         if stored is not None:
-            return web.json_response(stored, status=409)
+            return _respond(stored, status=409)
         self.write(kind, name, body.get("spec"))
-        return web.json_response(self.objects[kind][name])
+        return _respond(self.objects[kind][name])
 
     async def _replace(self, request: web.Request) -> web.Response:
         body = json.loads(await request.read())
@@ -208,10 +233,10 @@
             return web.Response(status=404)
         wanted = body["meta"].get("revision")
         if wanted is not None and wanted != stored["meta"]["revision"]:
-            return web.json_response(stored, status=409)
+            return _respond(stored, status=409)
         kind, name = request.match_info["kind"], request.match_info["name"]
         self.write(kind, name, body.get("spec"))
-        return web.json_response(self.objects[kind][name])
+        return _respond(self.objects[kind][name])
 
     async def _delete(self, request: web.Request) -> web.Response:
         self.erase(request.match_info["kind"], request.match_info["name"])
--- a/tests/integration/test_malformed.py
+++ b/tests/integration/test_malformed.py
@@ -5,6 +5,9 @@
 import socket
 import unittest
 
+from rosemaryridge.core.store import Claim
+from rosemaryridge.core.store._claims import NO_CLAIM
+from rosemaryridge_testbed.site import RawJson
 from tests.integration.test_site import SiteCase
 
 _DATAGRAMS = (
@@ -31,6 +34,9 @@
     b'{"items": [], "store_revision": 1e999}',
     b'{"events": [{}], "store_revision": 4}',
 )
+_DEEP = RawJson("[" * 100_000 + "]" * 100_000)
+_LONG_NUMBER = RawJson("9" * 6000)
+_ODD_VALUES = (_DEEP, _LONG_NUMBER, RawJson("1e999"), RawJson("NaN"), -1, 2**70, "")
 _CALLER_BYTES = (
     b"\r\n",
     b"\x00\xff\xfe\r\n",
@@ -97,6 +103,87 @@
         await asyncio.sleep(0.3)
         await self.assert_serving()
 
+    async def assert_follows(self):
+        """Check that changes of every kind of entry still reach the process."""
+        self.site.publish(100)
+        await self.until(lambda: '"version": 100' in self.events())
+        entry = self.site.store.objects["servers"]["books-0"]["spec"]
+        self.site.store.write("servers", "books-0", {**entry, "phase": "draining"})
+        await self.until(lambda: '"target_draining"' in self.events())
+        await self.assert_serving()
+
+    async def test_one_undecodable_entry_does_not_hide_the_others(self):
+        store = self.site.store
+        for kind in ("servers", "proxies", "failovers", "config"):
+            store.write(kind, "deep", _DEEP)
+            store.write(kind, "long", _LONG_NUMBER)
+        # Watches and, after a lost history, lists contain the entries.
+        await asyncio.sleep(0.3)
+        store.compact()
+        await asyncio.sleep(0.3)
+        self.assertNotIn('"store_lost"', self.events())
+        for name in ("deep", "long"):
+            self.assertEqual(
+                self.events().count(f'"kind": "servers", "name": "{name}"'), 1
+            )
+        await self.assert_follows()
+
+    async def test_one_odd_field_of_a_proxy_ends_no_process(self):
+        valid = self.site.store.objects["proxies"]["vm-0"]["spec"]
+        for number, value in enumerate((*_ODD_VALUES, 70_000)):
+            for field in valid:
+                odd = {**valid, field: value}
+                if field == "address":
+                    odd[field] = f"127.0.0.1:{value}"
+                self.site.store.write("proxies", f"odd-{field}-{number}", odd)
+        registry = self.entries[0]._proxy_registry
+        entries = await registry._list(asyncio.get_running_loop().time())
+        self.entries[0]._on_proxies_listed(entries)
+        await self.assert_follows()
+
+    async def test_one_odd_field_of_a_target_does_not_stop_the_others(self):
+        valid = self.site.store.objects["servers"]["books-1"]["spec"]
+        values = (*_ODD_VALUES, 0, "10.0.0.1:70000", "a" * 80 + ":80", "x" * 9000)
+        for number, value in enumerate(values):
+            for field in valid:
+                odd = {**valid, field: value}
+                self.site.store.write("servers", f"odd-{field}-{number}", odd)
+        await asyncio.sleep(0.3)
+        self.assertNotIn("mirror_failed", self.events())
+        self.assertNotIn("x" * 300, self.events())
+        await self.assert_follows()
+
+    async def test_an_entry_that_becomes_unreadable_names_no_target(self):
+        store = self.site.store
+        valid = store.objects["servers"]["books-1"]["spec"]
+        targets = self.entries[0]._proxy.directory.group("books").targets
+        for odd in (_DEEP, {"service": 3}):
+            for listed in (False, True):
+                with self.subTest(str(odd)[:20], listed=listed):
+                    store.write("servers", "books-1", valid)
+                    await self.until(lambda: "books-1" in targets)
+                    store.write("servers", "books-1", odd)
+                    if listed:
+                        store.compact()
+                    await self.until(lambda: "books-1" not in targets)
+
+    async def test_an_odd_claim_does_not_end_the_checks_of_a_group(self):
+        for value in _ODD_VALUES:
+            claim = {"fence": 1, "holder": "a", "term": 1, "target": "b"}
+            for field in claim:
+                self.assertEqual(Claim.decode({**claim, field: [value]}), NO_CLAIM)
+            for field in ("fence", "term"):
+                spec = {**claim, field: float("inf")}
+                self.assertEqual(Claim.decode(spec), NO_CLAIM)
+                self.assertEqual(Claim.decode({**claim, field: 2**70}), NO_CLAIM)
+        self.site.store.write("failovers", "books", _DEEP)
+        await self.target(0).crash()
+        # Without statements a proxy does not notice the crash.
+        client = await self.client("books-orders")
+        await client.execute("WRITE k d")
+        await self.until(lambda: len(self.site.promotions) == 1)
+        await self.assert_serving()
+
     async def test_bytes_of_callers(self):
         host, _, port = self.addresses[0].partition(":")
         for data in _CALLER_BYTES:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -16,6 +16,8 @@
 from rosemaryridge.core.store import Claim
 from rosemaryridge.core.store import ClaimedTarget
 from rosemaryridge.core.store import ClaimListing
+from rosemaryridge.core.store import hidden_fence
+from rosemaryridge.core.store import next_fence
 from rosemaryridge.exceptions import StoreUnavailable
 from rosemaryridge.model import Position
 from tests.test_core_decisions import GroupCase
@@ -39,7 +41,7 @@
         if self.error is not None:
             raise self.error
         objects = [
-            types.SimpleNamespace(name=name, spec=spec)
+            types.SimpleNamespace(name=name, spec=spec, revision=40)
             for name, spec in self.claims.items()
         ]
         return types.SimpleNamespace(objects=objects)
@@ -93,6 +95,18 @@
         self.assertTrue(await self.claims.refresh(boottime() - 1.0))
         self.assertEqual(self.store.lists, 1)
 
+    async def test_an_unreadable_claim_leases_to_nobody(self):
+        self.store.claim("books", 3, "a")
+        self.assertTrue(await self.claims.refresh(boottime()))
+        self.assertTrue(self.claims.leases("books", "a"))
+        self.store.claims["books"] = None
+        self.assertTrue(await self.claims.refresh(boottime()))
+        self.assertFalse(self.claims.leases("books", "a"))
+        # The next claim's fence is above that of any claim that was overwritten.
+        self.store.claim("books", next_fence(hidden_fence(40, None), None), "b")
+        self.assertTrue(await self.claims.refresh(boottime()))
+        self.assertTrue(self.claims.leases("books", "b"))
+
     def test_an_outdated_claim_replaces_no_newer_one(self):
         newer, older = ClaimedTarget(4, 2, "c"), ClaimedTarget(3, 1, "b")
         self.claims.record(ClaimListing({"books": newer}, 2.0))
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -10,6 +10,8 @@
 from rosemaryridge.exceptions import SettingsError
 from rosemaryridge.model import Endpoint
 from rosemaryridge.platform import documents
+from rosemaryridge.platform.parts import Unreadable
+from rosemaryridge.platform.parts import decode_parts
 from rosemaryridge.platform.settings import load_settings
 
 TARGET = {
@@ -65,6 +67,14 @@
             {"address": "nowhere"},
             {"service": 7},
             {"capacity": "many"},
+            {"capacity": 0},
+            {"capacity": 10**400},
+            {"born": 2**70},
+            {"sequence": float("inf")},
+            {"warmup_left_ms": float("nan")},
+            {"address": "10.0.0.9:70000"},
+            {"address": "a" * 80 + ":80"},
+            {"service": "x" * 9000},
         ):
             with (
                 self.subTest(change),
@@ -84,6 +94,29 @@
         self.assertEqual(documents.decode_body(body)["items"][1], "good")
 
 
+class PartsTest(unittest.TestCase):
+    """Guard against one odd entry that hides the others of an answer."""
+
+    def test_only_the_undecodable_part_is_unreadable(self):
+        for odd in ("[" * 100_000 + "]" * 100_000, "9" * 6000, "nope", '"\n"'):
+            text = '{"items": [{"a": "]},{"}, {"a": 1, "b": ODD}, []], "c": 2}'
+            found = decode_parts(text.replace("ODD", odd), 3)
+            self.assertEqual((found["items"][0], found["c"]), ({"a": "]},{"}, 2))
+            self.assertEqual(found["items"][1]["a"], 1)
+            self.assertIsInstance(found["items"][1]["b"], Unreadable)
+            self.assertEqual(found["items"][2], [])
+
+    @given(JSON, JSON, st.integers(0, 4))
+    def test_other_members_are_decoded_as_without_the_odd_one(self, one, two, indent):
+        whole = json.dumps([{"one": one}, {"odd": "odd", "two": two}], indent=indent)
+        found = decode_parts(whole.replace('"odd"', '"odd\n"', 1), 2)
+        self.assertEqual(found[0], {"one": one})
+
+    @given(st.text('[]{},:"\\ab1 ', max_size=40))
+    def test_any_text_is_decoded_or_unreadable(self, text):
+        decode_parts(text, 3)
+
+
 class ConfigTest(unittest.TestCase):
     def test_a_configuration_is_decoded(self):
         found = documents.decode_config(CONFIG)
