Close a connection whose transaction state is not idle (STALE)

What callers saw: acknowledged writes were lost, and reads on a primary route did not find them, while a target refused ROLLBACKs. Cause: a probe gave its connection back after a refused ROLLBACK; the next write ran inside the probe's transaction. Change: a connection keeps the state of its last answer, and the pool alone decides whether it is used again. A write that leaves a transaction open is of unknown outcome. The planted fault of the owners' model switches the pool's check off too, as it would hide the fault.

--- a/src/rosemaryridge/core/_pool.py
+++ b/src/rosemaryridge/core/_pool.py
@@ -10,6 +10,7 @@
 
 from rosemaryridge.core._admission import Admission
 from rosemaryridge.core._admission import IdlePolicy
+from rosemaryridge.core._statement import TransactionState
 from rosemaryridge.core._target_info import TargetInfo
 from rosemaryridge.core.commands import Connect
 from rosemaryridge.core.commands import ConnectFailed
@@ -60,6 +61,16 @@
         self.wait_s = wait_s
 
 
+def is_reusable(link: TargetLink) -> bool:
+    """Return whether another statement may run on a connection that is given back.
+
+    Statements must not run in a transaction that another one has left open, nor get
+    the answer to another one.
+    """
+    is_idle = link.state is TransactionState.IDLE
+    return is_idle and not link.closed and not link.busy
+
+
 class Pool:
     """Open, lend and reuse up to `limit` connections to one target.
 
@@ -197,8 +208,7 @@
         self._pinned -= pinned
         is_former = self._generations.get(link) != self._generation
         if (
-            link.closed
-            or link.busy
+            not is_reusable(link)
             or self._closed
             or is_former
             or self.size >= self.limit
--- a/src/rosemaryridge/core/_reader.py
+++ b/src/rosemaryridge/core/_reader.py
@@ -135,9 +135,7 @@
                 f"{target.id} did not answer a read before the deadline",
             ) from None
         if at_once:
-            self._runner.release(
-                group, target, link, answer.in_state(TransactionState.IDLE)
-            )
+            self._runner.release(group, target, link, answer)
         else:
             self._runner.apply_answer(group, target, link, answer)
             self._runner.spawn(self._runner.roll_back(target, link))
@@ -293,8 +291,11 @@
             target.pool.discard(link)
             group.suspect(target)
             return None
-        self.record_answer(target, requirement, answer)
         self._runner.release(group, target, link, answer)
+        if answer.ok and answer.state is not TransactionState.IDLE:
+            # It ran in a transaction of which this session knows nothing.
+            return None
+        self.record_answer(target, requirement, answer)
         return answer
 
     def record_answer(
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -130,6 +130,12 @@
                 f"{target.id} did not answer a write before the deadline",
             ) from None
         self.release(group, target, link, answer)
+        if answer.ok and answer.state is not TransactionState.IDLE:
+            # It ran in a transaction of which this session knows nothing.
+            raise StatementError(
+                Failure.UNKNOWN_OUTCOME,
+                f"{target.id} left a transaction open after a write",
+            )
         if answer.ok:
             with session.steps.measure("proof"):
                 await self.check_commit(group, target)
@@ -261,7 +267,7 @@
     ) -> None:
         """Handle a refusal and release the connection."""
         self.apply_answer(group, target, link, answer)
-        self._release_link(target, link, answer, pinned)
+        target.pool.release(link, pinned)
 
     def apply_answer(
         self, group: Group, target: Target, link: TargetLink, answer: Answer
@@ -272,14 +278,6 @@
         if answer.failure is Failure.UNKNOWN_STATEMENT:
             link.prepared.clear()
 
-    def _release_link(
-        self, target: Target, link: TargetLink, answer: Answer, pinned: bool
-    ) -> None:
-        if answer.state is TransactionState.IDLE:
-            target.pool.release(link, pinned)
-        else:
-            target.pool.discard(link, pinned)
-
     def _schedule_probe(self, group: Group, target: Target) -> asyncio.TimerHandle:
         sent_at = self._loop.time()
 
@@ -337,8 +335,8 @@
         (fut,) = link.send(Rollback())
         try:
             async with asyncio.timeout(ABANDONED_TIMEOUT_S):
-                answer = await fut
+                await fut
         except (TargetLost, TimeoutError):
             target.pool.discard(link, pinned)
             return
-        self._release_link(target, link, answer, pinned)
+        target.pool.release(link, pinned)
--- a/src/rosemaryridge/core/commands.py
+++ b/src/rosemaryridge/core/commands.py
@@ -7,6 +7,7 @@
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Statement
 from rosemaryridge.core._statement import TargetCondition
+from rosemaryridge.core._statement import TransactionState
 from rosemaryridge.core._target_info import TargetInfo
 from rosemaryridge.model import Position
 
@@ -109,6 +110,10 @@
     def busy(self) -> bool:
         """Return whether answers are outstanding."""
 
+    @property
+    def state(self) -> TransactionState:
+        """Return the transaction state that the last answer told."""
+
     def send(self, *commands: Command) -> "list[t.Awaitable[Answer]]":
         """Send commands together; an answer raises TargetLost if it cannot arrive."""
 
--- a/src/rosemaryridge/core/owners/_links.py
+++ b/src/rosemaryridge/core/owners/_links.py
@@ -71,7 +71,7 @@
         self._closed = False
         self._pending = 0
         self._sent_at = 0.0
-        self._state = TransactionState.IDLE
+        self.state = TransactionState.IDLE
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -87,7 +87,7 @@
     @property
     def closed(self) -> bool:
         """Return whether the link has ended, or must not be used again."""
-        is_idle = self._state is TransactionState.IDLE and not self._pending
+        is_idle = self.state is TransactionState.IDLE and not self._pending
         return self._closed or self._stream.ended or is_idle and self._stream.stopping
 
     @property
@@ -129,7 +129,7 @@
         if self._pending:
             waited_since = max(self._sent_at, self._stream.resumed_at)
             self._reachability.record_abandoned(waited_since, self._loop.time())
-        if self._pending or self._state is not TransactionState.IDLE:
+        if self._pending or self.state is not TransactionState.IDLE:
             self._stream.close_link(self._link)
 
     def _send_batch(
@@ -194,13 +194,13 @@
         self._reachability.record_reply(self._loop.time())
         if isinstance(frame, Done) and len(frame.answers) == len(main):
             answers = [_decode_answer(answer) for answer in frame.answers]
-            self._state = answers[-1].state
+            self.state = answers[-1].state
             _resolve(main, answers)
         elif isinstance(frame, NotRun) and not frame.unreachable:
             refusal = Answer(
                 failure=Failure.BUSY,
                 detail=frame.reason,
-                state=self._state,
+                state=self.state,
                 retry_after_s=frame.wait_s,
             )
             _resolve(main, [refusal] * len(main))
--- a/src/rosemaryridge/core/owners/_targets.py
+++ b/src/rosemaryridge/core/owners/_targets.py
@@ -318,11 +318,11 @@
             return
         try:
             async with asyncio.timeout(_ABANDONED_TIMEOUT_S):
-                answer = await connection.send(Rollback())[0]
+                await connection.send(Rollback())[0]
         except (TargetLost, TimeoutError):
             owned.pool.discard(connection, pinned=True)
             return
-        self._release(owned, connection, answer)
+        owned.pool.release(connection, pinned=True)
 
     async def _serve_batch(
         self, channel: _Channel, batch: Batch, urgency: Urgency
@@ -425,7 +425,7 @@
             sent = not isinstance(exc, TargetLost) or exc.sent
             return Lost(batch.number, reason, sent)
         channel.has_run = any(isinstance(step, RunStep) for step in batch.steps)
-        self._keep_or_release(channel, owned, answers[-1])
+        self._keep_or_release(channel, owned)
         return Done(batch.number, tuple(map(_encode_answer, answers)))
 
     def _discard(self, channel: _Channel) -> None:
@@ -513,23 +513,13 @@
             ),
         )
 
-    def _keep_or_release(
-        self, channel: _Channel, owned: _OwnedTarget, answer: Answer
-    ) -> None:
+    def _keep_or_release(self, channel: _Channel, owned: _OwnedTarget) -> None:
         connection = t.cast(TargetLink, channel.connection)
-        if answer.state is TransactionState.IDLE:
+        if connection.state is TransactionState.IDLE:
             owned.pool.release(connection, pinned=True)
             channel.connection = None
             channel.has_run = False
 
-    def _release(
-        self, owned: _OwnedTarget, connection: TargetLink, answer: Answer
-    ) -> None:
-        if answer.state is TransactionState.IDLE:
-            owned.pool.release(connection, pinned=True)
-        else:
-            owned.pool.discard(connection, pinned=True)
-
     def _gauges(self) -> t.Iterator[tuple[str, Labels, float]]:
         for (service, name), owned in self._owned.items():
             labels = (("service", service), ("target", name))
--- a/src/rosemaryridge/platform/target.py
+++ b/src/rosemaryridge/platform/target.py
@@ -9,6 +9,7 @@
 from rosemaryridge.core import TargetCondition
 from rosemaryridge.core import TargetInfo
 from rosemaryridge.core import TargetLost
+from rosemaryridge.core import TransactionState
 from rosemaryridge.core import commands
 from rosemaryridge.core import enable_keepalive
 from rosemaryridge.core import running_timeout
@@ -62,6 +63,7 @@
         self.urgency: commands.Urgency | None = None
         self.values: dict[bytes, bytes] = {}
         self.prepared: set[bytes] = set()
+        self.state = TransactionState.IDLE
         self._transport: asyncio.Transport | None = None
         self._reader = wire.AnswerReader()
         self._pending: collections.deque[asyncio.Future[Answer]] = collections.deque()
@@ -91,6 +93,7 @@
         for answer in answers:
             if not self._pending:
                 return self.close()
+            self.state = answer.state
             fut = self._pending.popleft()
             if not fut.done():
                 fut.set_result(answer)
--- a/src/rosemaryridge_testbed/schedules/_world.py
+++ b/src/rosemaryridge_testbed/schedules/_world.py
@@ -242,7 +242,7 @@
         self._pending = 0
         self._queue: collections.deque = collections.deque()
         self._working = False
-        self._state = TransactionState.IDLE
+        self.state = TransactionState.IDLE
         self._writes: list[bytes] = []
         target.connections += 1
         target.opened_connections += 1
@@ -329,7 +329,7 @@
             work_s = self._world.rng.expovariate(1.0 / target.work_s)
             if not await target.occupy_slot(work_s):
                 target.turned_away += 1
-                return Answer(failure=Failure.BUSY, state=self._state)
+                return Answer(failure=Failure.BUSY, state=self.state)
         return request()
 
     async def _lose(self, fut: asyncio.Future) -> None:
@@ -347,17 +347,17 @@
         handler = _RUN.get(type(command))
         answer = handler(self, command) if handler else Answer()
         return dataclasses.replace(
-            answer, state=self._state, position=self._target.position
+            answer, state=self.state, position=self._target.position
         )
 
     def _begin(self, command: commands.Begin) -> Answer:
         if not command.read_only and self._target.leads_term is None:
             return Answer(failure=Failure.READ_ONLY)
-        self._state, self._writes = TransactionState.OPEN, []
+        self.state, self._writes = TransactionState.OPEN, []
         return Answer()
 
     def _roll_back(self, command: commands.Rollback) -> Answer:
-        self._state, self._writes = TransactionState.IDLE, []
+        self.state, self._writes = TransactionState.IDLE, []
         return Answer()
 
     def _statement(self, command: commands.Run) -> Answer:
@@ -376,8 +376,8 @@
         if verb is Verb.COMMIT:
             for data in self._writes:
                 target.commit(data)
-            self._state, self._writes = TransactionState.IDLE, []
-        elif self._state is TransactionState.OPEN:
+            self.state, self._writes = TransactionState.IDLE, []
+        elif self.state is TransactionState.OPEN:
             self._writes.append(text)
         else:
             target.commit(text)
--- a/src/rosemaryridge_testbed/site/_target.py
+++ b/src/rosemaryridge_testbed/site/_target.py
@@ -37,7 +37,14 @@
 
 
 class Refused(Exception):
-    """Fail a statement with an error code."""
+    """Fail a statement with an error code.
+
+    With `runs_on`, an open transaction is left as it was.
+    """
+
+    def __init__(self, text: str, runs_on: bool = False):
+        super().__init__(text)
+        self.runs_on = runs_on
 
 
 @dataclasses.dataclass(slots=True)
@@ -135,6 +142,8 @@
         # The guarantee that every statement violates, for tests of checks.
         self.plant = ""
         self.draining = False
+        # Returns whether a request is answered BUSY and not run, by its first word.
+        self.refuses: t.Callable[[str], bool] = lambda word: False
         # Bytes that are sent in place of every answer.
         self.garbage = b""
         # Whether the other targets cannot reach this one.
@@ -275,7 +284,8 @@
                 rows, signature = await self._run(connection, id_, text)
                 lines = [f"DATAROW {row}" for row in rows] + [f"COMPLETE {signature}"]
             except Refused as exc:
-                connection.failed = connection.transaction is not None
+                if not exc.runs_on:
+                    connection.failed = connection.transaction is not None
                 lines = [f"ERROR {exc}"]
             if self.fault == "lossy" and "WRITE" in text:
                 writer.transport.abort()
@@ -298,6 +308,8 @@
             and not self._has_applied(min_position)
         ):
             raise Refused(f"LAGGING {self.name}")
+        if self.refuses(word):
+            raise Refused(f"BUSY {self.name}", runs_on=True)
         if connection.failed and word not in ("ROLLBACK", "COMMIT"):
             raise Refused(f"MALFORMED {self.name}")
         handler = _HANDLERS[word]
--- a/src/rosemaryridge_testbed/soak/_faults.py
+++ b/src/rosemaryridge_testbed/soak/_faults.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from rosemaryridge_testbed.link import LinkFaults
+from rosemaryridge_testbed.site import RawJson
 from rosemaryridge_testbed.site import SiteTarget
 
 if t.TYPE_CHECKING:
@@ -15,6 +16,14 @@
 FAULTS: dict[str, Fault] = {}
 
 
+_ODD_SPECS = (
+    RawJson("[" * 20_000 + "]" * 20_000),
+    RawJson("9" * 6000),
+    RawJson("1e999"),
+    {"address": "127.0.0.1:70000", "failure_domain": "a", "stream_port": 1e300},
+)
+
+
 def _fault(fault: Fault) -> Fault:
     FAULTS[fault.__name__.strip("_")] = fault
     return fault
@@ -187,6 +196,21 @@
     soak.site.write_again()
 
 
+@_fault
+async def _odd_entries(soak: "Soak", rng: random.Random) -> None:
+    """Leave entries that cannot be read, also in place of a target's."""
+    store, kinds = soak.site.store, ("servers", "proxies", "config", "failovers")
+    for kind in kinds:
+        store.write(kind, "odd", rng.choice(_ODD_SPECS))
+    target = _choose_target(soak, rng)
+    if rng.random() < 0.5:
+        store.write("servers", target.name, rng.choice(_ODD_SPECS))
+    await asyncio.sleep(_draw_duration_s(rng))
+    soak.site.register(target)
+    for kind in kinds:
+        store.erase(kind, "odd")
+
+
 @_fault
 async def _lost_orders(soak: "Soak", rng: random.Random) -> None:
     soak.site.promotions_to_drop = 1
--- a/tests/test_core_decisions.py
+++ b/tests/test_core_decisions.py
@@ -13,6 +13,7 @@
 from rosemaryridge.core import StatementError
 from rosemaryridge.core import TargetCondition
 from rosemaryridge.core import TargetInfo
+from rosemaryridge.core import TransactionState
 from rosemaryridge.core._admission import Admission
 from rosemaryridge.core._admission import IdlePolicy
 from rosemaryridge.core._group import Group
@@ -64,6 +65,7 @@
 class StubLink:
     via = ""
     stops_at_failed_begin = False
+    state = TransactionState.IDLE
 
     def __init__(self, business=""):
         self.business = business
@@ -466,6 +468,16 @@
         pool.release(link)
         self.assertTrue(link.closed)
 
+    async def test_a_connection_with_an_open_transaction_is_closed(self):
+        for state in (TransactionState.OPEN, TransactionState.FAILED):
+            pool = self.target("a").pool
+            end = asyncio.get_running_loop().time() + 1.0
+            link = await pool.acquire(1, end)
+            link.state = state
+            pool.release(link)
+            self.assertTrue(link.closed)
+            self.assertIsNot(await pool.acquire(1, end), link)
+
     async def test_a_full_target_shortens_the_idle_time(self):
         async def refuse(_info, _timeout_s, _business):
             raise ConnectFailed("too many", full=True)
--- a/tests/test_core_session.py
+++ b/tests/test_core_session.py
@@ -3,6 +3,7 @@
 from rosemaryridge.core import Failure
 from rosemaryridge.core import Statement
 from rosemaryridge.core import StatementError
+from rosemaryridge.core import TransactionState
 from rosemaryridge.core import Verb
 from rosemaryridge.core._session import PreparedNames
 from rosemaryridge.core._session import Session
@@ -16,6 +17,7 @@
 class StubLink:
     via = ""
     stops_at_failed_begin = False
+    state = TransactionState.IDLE
 
     def __init__(self):
         self.values = {}
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -10,6 +10,7 @@
 
 from rosemaryridge.core import TargetInfo
 from rosemaryridge.core import TargetLost
+from rosemaryridge.core import _pool
 from rosemaryridge.core.commands import Begin
 from rosemaryridge.core.commands import Rollback
 from rosemaryridge.core.commands import Urgency
@@ -461,11 +462,15 @@
             self.assert_found("late")
 
     def test_a_transaction_that_goes_on_on_another_connection_is_found(self):
-        def release(owned, channel, station, answer):
-            station.pool.release(channel.connection, pinned=True)
+        def release(owners, channel, owned):
+            owned.pool.release(channel.connection, pinned=True)
             channel.connection = None
 
-        with mock.patch.object(OwnedTargets, "_keep_or_release", release):
+        # The pool takes no such connection back either.
+        with (
+            mock.patch.object(OwnedTargets, "_keep_or_release", release),
+            mock.patch.object(_pool, "is_reusable", lambda link: not link.closed),
+        ):
             self.assert_found("lost")
             self.assert_found("refused")
 
--- a/tests/test_retry_loops.py
+++ b/tests/test_retry_loops.py
@@ -7,6 +7,7 @@
 from rosemaryridge.core import Statement
 from rosemaryridge.core import StatementError
 from rosemaryridge.core import TargetLost
+from rosemaryridge.core import TransactionState
 from rosemaryridge.core import Verb
 from rosemaryridge.core._config import Consistency
 from rosemaryridge.core._config import Route
@@ -41,6 +42,7 @@
 
     via = ""
     stops_at_failed_begin = False
+    state = TransactionState.IDLE
 
     def __init__(self, world):
         self.business = ""
