--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -17,7 +17,7 @@
 from rosemaryridge.core._successor import Reason
 from rosemaryridge.core._successor import all_lag
 from rosemaryridge.core._successor import choose_successor
-from rosemaryridge.core._successor import nobody_leads
+from rosemaryridge.core._successor import leader_has_denied
 from rosemaryridge.core._successor import reason_to_replace
 from rosemaryridge.core._successor import reason_to_wait
 from rosemaryridge.core._target import Target
@@ -225,8 +225,16 @@
                     return False
             if not step_down.done and successor is old:
                 return True
-        elif nobody_leads(group, conditions):
+        elif leader_has_denied(group, claim, conditions):
             due_at = boottime()
+        elif self._order_delay_s:
+            self._log.write(
+                "promotion_waits",
+                service=group.service,
+                fence=new_claim.fence,
+                wait_ms=round(1000 * (due_at - boottime())),
+                why="other proxies may hold leases on the former primary",
+            )
         await asyncio.sleep(due_at - boottime())
         expires_at = claimed_at + self._order_delay_s + _ORDER_EXPIRY_S
         if boottime() - claimed_at > _CLAIM_RECHECK_S and not await self._is_stored(
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -65,6 +65,8 @@
         # The target that last confirmed that it is the primary, and the time at which
         # the request that it answered was sent, on the clock of `boottime`.
         self._confirmed_primary_id: str | None = None
+        # The last target that has done so, also after it has lost the role.
+        self.last_primary = ""
         self._confirmation_requested_at = float("-inf")
         # Requests the position from a position relay; None without peers.
         self.request_position: t.Callable[[Group], t.Awaitable[bool]] | None = None
@@ -276,7 +278,7 @@
             # Only a change of the primary counts as a promotion, not the first
             # confirmation.
             self._overload.reset(self._loop.time())
-        self.primary = self._confirmed_primary_id = target.id
+        self.primary = self._confirmed_primary_id = self.last_primary = target.id
         self.term = term
         # The last commits of the former primary may be lost.
         self._history = PrimaryHistory()
--- a/src/rosemaryridge/core/_successor.py
+++ b/src/rosemaryridge/core/_successor.py
@@ -155,6 +155,29 @@
     )
 
 
+def leader_has_denied(
+    group: Group, claim: Claim, conditions: t.Mapping[str, TargetCondition]
+) -> bool:
+    """Return whether the target that led last is shown not to lead any more.
+
+    Other proxies may hold leases on a primary that this one's list lacks, as its entry
+    has gone. Without a claim, the first primary leads.
+    """
+    if not nobody_leads(group, conditions):
+        return False
+    newest_term = max(cond.term for cond in conditions.values())
+    if claim.fence == 0:
+        leaders = {group.last_primary}
+    elif newest_term <= claim.term:
+        # The order of the claim may have been lost.
+        leaders = {claim.target, claim.deposed}
+    elif newest_term == claim.term + 1:
+        leaders = {claim.target}
+    else:
+        return False
+    return leaders <= conditions.keys()
+
+
 def _is_left_behind(
     name: str, claim: Claim, conditions: t.Mapping[str, TargetCondition]
 ) -> bool:
--- a/tests/integration/test_refusals.py
+++ b/tests/integration/test_refusals.py
@@ -8,7 +8,6 @@
 from tests.integration.test_site import SiteCase
 from tests.integration.test_site_owners import _OwnersCase
 
-
 _SETTINGS = ("SET", "RESET", "PREPARE", "BEGIN")
 
 
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -467,6 +467,23 @@
         self.assertTrue(successors)
         self.assertEqual(set(acknowledged) & set(self.group.split_commits), set())
 
+    async def test_a_proxy_that_starts_waits_for_the_leases_of_others(self):
+        # The primary's entry has gone, so that all targets of its list deny to lead.
+        old = await self.client("books-orders")
+        self.assertEqual((await old.execute("WRITE k d")).code, "")
+        self.target(0).cut_off = True
+        self.site.store.erase("servers", "books-0")
+        writing = asyncio.create_task(self.write_for(old, "old", 3.0))
+        await self._start_proxy(self.log_path.parent, "vm-2")
+        await self._wait_until_serving(self.addresses[2])
+        new = await self.client("books-orders", 2)
+        successors = await self.write_for(new, "new", 2.5)
+        acknowledged = await writing
+        self.assertNotEqual(self.group.primary, "books-0")
+        self.assertTrue(acknowledged)
+        self.assertTrue(successors)
+        self.assertEqual(set(acknowledged) & set(self.group.split_commits), set())
+
     async def test_no_read_misses_a_commit_of_the_successor(self):
         reader = await self.client("books-orders", 0)
         writer = await self.client("books-orders", 1)
@@ -501,7 +518,8 @@
         pool = self.entries[1]._proxy.directory.groups["books"].targets["books-0"].pool
         pool._connect = connect_target
         await self.until(lambda: self.target(0).deposed_term is None)
-        self.assertIn("deposed_primary_stepped_down", self.events())
+        # The proxy logs it after the target's answer.
+        await self.until(lambda: "deposed_primary_stepped_down" in self.events())
 
     async def test_statements_are_served_without_the_store(self):
         client = await self.client("books-orders", 0)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -10,8 +10,10 @@
 from rosemaryridge.core._boottime import boottime
 from rosemaryridge.core._leadership import Leadership
 from rosemaryridge.core._successor import choose_successor
+from rosemaryridge.core._successor import leader_has_denied
 from rosemaryridge.core._successor import nobody_leads
 from rosemaryridge.core.store import LEASE_S
+from rosemaryridge.core.store import NO_CLAIM
 from rosemaryridge.core.store import PROMOTION_DELAY_S
 from rosemaryridge.core.store import Claim
 from rosemaryridge.core.store import ClaimedTarget
@@ -282,6 +284,25 @@
         self.assertFalse(nobody_leads(group, {"a": denies}))
         self.assertFalse(nobody_leads(group, {"a": denies, "b": leads}))
 
+    async def test_a_list_without_the_last_leader_proves_nothing(self):
+        # Guards against an order at once while other proxies hold leases on a primary
+        # that is missing in the list of this one.
+        group = self.group("b", "c")
+        denies = {"b": condition((1, 1)), "c": condition((1, 1))}
+        self.assertFalse(leader_has_denied(group, NO_CLAIM, denies))
+        first, pending = Claim(1, "vm", 1, "b", "a"), Claim(1, "vm", 1, "b", "c")
+        self.assertFalse(leader_has_denied(group, first, denies))
+        self.assertTrue(leader_has_denied(group, pending, denies))
+        promoted = {name: condition((2, 1), term=2) for name in "bc"}
+        self.assertTrue(leader_has_denied(group, first, promoted))
+        self.assertFalse(leader_has_denied(group, Claim(1, "vm", 1, "a"), promoted))
+        later = {name: condition((3, 1), term=3) for name in "bc"}
+        self.assertFalse(leader_has_denied(group, first, later))
+        unreadable = Claim(40, "", 1, "")
+        self.assertFalse(leader_has_denied(group, unreadable, denies))
+        group.record_primary(group.targets["b"], Position(1, 5), boottime())
+        self.assertTrue(leader_has_denied(group, NO_CLAIM, denies))
+
 
 if __name__ == "__main__":
     unittest.main()
