--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -21,6 +21,7 @@
 from rosemaryridge.core import ProxyRegistry
 from rosemaryridge.core import RetryGate
 from rosemaryridge.core import Shares
+from rosemaryridge.core import Shutdown
 from rosemaryridge.core import StoreEra
 from rosemaryridge.core import StoreMirror
 from rosemaryridge.core import TargetInfo
@@ -53,8 +54,6 @@
 # The balancer probes readiness once a second and routes callers here until two
 # probes in a row have failed.
 _BALANCER_DELAY_S = 2.5
-# Part of the grace period reserved for sending the last answers before SIGKILL.
-_EXIT_MARGIN_S = 0.7
 _DRAIN_POLL_S = 0.05
 # The settings file may change without a signal.
 _SETTINGS_POLL_S = 5.0
@@ -348,8 +347,8 @@
         self._failover.stopping = True
         if self._owners is not None:
             self._owners.stop()
-        deadline = started_at + self._cfg.grace_s - _EXIT_MARGIN_S
-        while loop.time() < deadline:
+        self._proxy.shutdown = Shutdown(started_at, self._cfg.grace_s)
+        while loop.time() < self._proxy.shutdown.ends_at:
             self._callers.drain()
             if loop.time() - started_at > _BALANCER_DELAY_S:
                 self._callers.stop_listening()
--- a/src/rosemaryridge/core/__init__.py
+++ b/src/rosemaryridge/core/__init__.py
@@ -19,6 +19,7 @@
 from rosemaryridge.core._proxy import Proxy
 from rosemaryridge.core._proxy_registry import ProxyRegistry
 from rosemaryridge.core._shares import Shares
+from rosemaryridge.core._shutdown import Shutdown
 from rosemaryridge.core._statement import NOT_RUN
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
@@ -59,6 +60,7 @@
     "RetryGate",
     "Route",
     "Shares",
+    "Shutdown",
     "Statement",
     "StatementError",
     "StoreEra",
--- a/src/rosemaryridge/core/_caller.py
+++ b/src/rosemaryridge/core/_caller.py
@@ -9,6 +9,7 @@
 from rosemaryridge.core._reader import Reader
 from rosemaryridge.core._runner import Runner
 from rosemaryridge.core._session import Session
+from rosemaryridge.core._shutdown import Shutdown
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
 from rosemaryridge.core._statement import Statement
@@ -20,6 +21,7 @@
 
 _Handler = t.Callable[["Caller", Statement], t.Awaitable[Answer]]
 _HANDLERS: dict[Verb, _Handler] = {}
+_STOPPING = "the proxy stops before the statement could end"
 _TRANSACTION_ENDS = (Verb.COMMIT, Verb.ROLLBACK)
 
 
@@ -38,6 +40,8 @@
     runner: Runner
     reader: Reader
     config: ConfigHolder
+    # The plan of the shutdown, None before it.
+    shutdown: Shutdown | None
 
     def route(self, database: bytes) -> tuple[Route, Group]:
         """Return a database's route and group; raise StatementError."""
@@ -130,16 +134,25 @@
         with self._session.steps.measure("quota"):
             await self._proxy.admit(self._session, route, statement)
 
-    def _check_transaction(self) -> None:
-        """Abort a transaction whose business may not run it any more."""
+    def _may_end_in_time(self, route: Route) -> bool:
+        """Return whether a statement is answered before this process ends."""
+        shutdown = self._proxy.shutdown
+        now = asyncio.get_running_loop().time()
+        return shutdown is None or shutdown.takes_statement(now, route.timeout_s)
+
+    def _check_transaction(self, transaction: Transaction) -> None:
+        """Abort a transaction that may not go on: its business, or the shutdown."""
+        if not self._may_end_in_time(transaction.route):
+            transaction.abort()
+            raise StatementError(Failure.ABORTED, _STOPPING, 0.0)
         business = self._session.business
         try:
             self._proxy.authorize(self._session)
         except StatementError:
-            self._transaction.abort()
+            transaction.abort()
             raise
         if self._session.business.name != business.name:
-            self._transaction.abort()
+            transaction.abort()
             raise StatementError(
                 Failure.ABORTED, "the key has moved to another business", 0.0
             )
@@ -152,6 +165,10 @@
         if self._transaction is not None:
             raise StatementError(Failure.MALFORMED, "BEGIN inside an open transaction")
         route, group = self._start_operation()
+        shutdown = self._proxy.shutdown
+        now = asyncio.get_running_loop().time()
+        if shutdown is not None and not shutdown.takes_transaction(now):
+            raise StatementError(Failure.BUSY, _STOPPING, 0.0)
         self._transaction = Transaction(
             self._proxy.runner,
             self._proxy.reader,
@@ -173,7 +190,7 @@
             )
         try:
             if not transaction.failed:
-                self._check_transaction()
+                self._check_transaction(transaction)
         finally:
             self._transaction = None
         return await transaction.commit(statement)
@@ -190,11 +207,13 @@
         if self._transaction is not None:
             # Raises if the prepared statement is unknown.
             self._session.is_read(statement)
-            self._check_transaction()
+            self._check_transaction(self._transaction)
             return await self._transaction.run(statement)
         route, group = self._start_operation()
         is_read = self._session.is_read(statement)
         await self._admit(route, statement)
+        if not self._may_end_in_time(route):
+            raise StatementError(Failure.BUSY, _STOPPING, 0.0)
         if is_read:
             return await self._proxy.reader.read(self._session, route, group, statement)
         return await self._proxy.runner.write(self._session, route, group, statement)
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -18,6 +18,7 @@
 from rosemaryridge.core._session import PreparedNames
 from rosemaryridge.core._session import Session
 from rosemaryridge.core._shares import Shares
+from rosemaryridge.core._shutdown import Shutdown
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
 from rosemaryridge.core._statement import Statement
@@ -63,6 +64,7 @@
         self.runner = Runner(
             rng, PreparedNames(), log, self.metrics, self._check_business
         )
+        self.shutdown: Shutdown | None = None
         # Keeps the businesses within their quotas; None where the platform sets none.
         self.quotas: Quotas | None = None
         # Returns the age of the configuration in seconds, and the greatest with which
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -47,7 +47,7 @@
         self._runner = runner
         self._reader = reader
         self._session = session
-        self._route = route
+        self.route = self._route = route
         self._group = group
         self._any_target = read_only and route.consistency is not Consistency.PRIMARY
         self._idle_timeout_s = idle_timeout_s
--- a/src/rosemaryridge_testbed/soak/_faults.py
+++ b/src/rosemaryridge_testbed/soak/_faults.py
@@ -16,6 +16,7 @@
 FAULTS: dict[str, Fault] = {}
 
 
+_REFUSED_WORDS = ("SET", "RESET", "PREPARE", "BEGIN", "ROLLBACK", "COMMIT", "STATUS")
 _ODD_SPECS = (
     RawJson("[" * 20_000 + "]" * 20_000),
     RawJson("9" * 6000),
@@ -97,6 +98,16 @@
     target.work_s = 0.002
 
 
+@_fault
+async def _refusing_target(soak: "Soak", rng: random.Random) -> None:
+    """Refuse a part of some kinds of requests; the states in the answers are true."""
+    target, share = _choose_target(soak, rng), rng.uniform(0.2, 0.6)
+    words = rng.sample(_REFUSED_WORDS, rng.randint(1, len(_REFUSED_WORDS)))
+    target.refuses = lambda word: word in words and rng.random() < share
+    await asyncio.sleep(_draw_duration_s(rng))
+    target.refuses = lambda word: False
+
+
 @_fault
 async def _lagging_replicas(soak: "Soak", rng: random.Random) -> None:
     for target in soak.group.targets.values():
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -695,6 +695,69 @@
         self.assertEqual((await client.execute("WRITE k d")).code, "")
 
 
+class ShutdownTest(SiteCase):
+    """Guard against statements that are cut off at the end of a shutdown."""
+
+    options = SiteOptions(tx_idle_ms=5000)
+
+    async def stop_for(self, seconds):
+        self.entries[0].stop()
+        await asyncio.sleep(seconds)
+
+    async def test_a_long_transaction_is_aborted_before_the_end(self):
+        # It begins after the signal and does not end by itself.
+        idle = await self.client("books-orders")
+        self.entries[0].stop()
+        await asyncio.sleep(1.0)
+        client = await self.client("books-orders")
+        codes = [(await client.execute("BEGIN")).code]
+        while not codes[-1]:
+            await asyncio.sleep(0.2)
+            codes.append((await client.execute("WRITE k d")).code)
+        self.assertGreater(len(codes), 8)
+        self.assertEqual(codes[-1], "ABORTED")
+        self.assertEqual((await client.execute("COMMIT")).code, "ABORTED")
+        self.assertEqual(self.target(0).log, [])
+        idle.close()
+
+    async def test_what_cannot_end_in_time_is_refused_at_once(self):
+        clients = [await self.client("books-orders") for _ in range(3)]
+        for client in clients:
+            await client.execute("BEGIN")
+            await client.execute("WRITE k d")
+        await self.stop_for(4.2)
+        for target in self.group.targets.values():
+            target.work_s = 1.0
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        for text, client in zip(("WRITE k e", "COMMIT"), clients, strict=False):
+            self.assertEqual((await client.execute(text)).code, "ABORTED")
+        await clients[2].execute("ROLLBACK")
+        self.assertLess(loop.time() - started_at, 0.3)
+        self.assertEqual(self.target(0).log, [])
+
+    async def test_each_statement_that_is_taken_is_answered(self):
+        clients = [await self.client("books-orders") for _ in range(12)]
+        for client in clients:
+            await client.execute("BEGIN")
+        for target in self.group.targets.values():
+            target.work_s = 0.8
+        self.entries[0].stop()
+        codes = []
+
+        async def write_until_refused(client, delay_s):
+            await asyncio.sleep(delay_s)
+            while True:
+                codes.append((await client.execute("WRITE k d")).code)
+                if codes[-1]:
+                    return
+
+        await asyncio.gather(
+            *(write_until_refused(c, 0.1 * n) for n, c in enumerate(clients))
+        )
+        self.assertEqual(set(codes) - {"", "ABORTED", "BUSY"}, set())
+
+
 class IsolationTest(SiteCase):
     async def test_a_refused_caller_is_disconnected_while_the_proxy_is_isolated(self):
         client = await self.client("books-orders")
