Send a leaving primary no new work after drain_ms (DRAIN)

Cause: nothing in the data path knew the bound; a primary was used while it answered. Change: each target knows until when it takes new work, counted from the last moment at which the report can have been missing. Afterwards callers are refused at once if nobody can succeed it.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -176,6 +176,8 @@
         if cfg.revocation_s is not None:
             self._proxy.config_age_s = self._mirrors[0].age_s
             self._proxy.max_config_age_s = cfg.revocation_s
+        self._proxy.directory.drain_s = cfg.drain_s
+        self._proxy.directory.report_age_s = self._mirrors[1].report_age_s
         self._mirror_monitor = MirrorMonitor(self._mirrors, self._era, self._log, rng)
         self._mirror_monitor.request_from_relay = self._peers.request_mirrors
         self._mirror_monitor.is_relay_of_fleet = self._peers.is_mirror_relay_of_fleet
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -20,6 +20,13 @@
 _REMOVAL_GRACE_S = 2.5
 # Outdated registrations expire from a restored store within three heartbeats.
 _OUTDATED_S = 30.0
+# A request must reach a draining target within its time: it may wait for a connection
+# or at an owner, and travels for 40 ms.
+_DRAIN_MARGIN_S = 0.5
+# The time for which a target takes work if this proxy cannot tell when it was reported
+# to be draining: it has just started, or was cut off from the store.
+_UNKNOWN_DRAIN_S = 3.0
+_MAX_REPORT_AGE_S = 5.0
 # Limit on the removed targets whose last registration is kept.
 _MAX_REMOVED = 256
 # Connections to a target until the connection limit of its service is known.
@@ -45,6 +52,10 @@
         self.request_position: t.Callable[[Group], t.Awaitable[bool]] | None = None
         # Proves who leads a group; None where a deposed primary refuses to serve.
         self.claims: ClaimCache | None = None
+        # Time for which draining targets take new work.
+        self.drain_s = float("inf")
+        # Returns how long ago the change that is being applied was made at the most.
+        self.report_age_s: t.Callable[[], float] = lambda: 0.0
         self._connect = connect
         self._log = log
         self._on_suspect = on_suspect
@@ -155,12 +166,27 @@
         target.info = info
         target.pool.info = info
         target.removed_at = None
+        if info.draining and not target.draining:
+            target.drain_ends_at = self._drain_end()
+        elif not info.draining:
+            target.drain_ends_at = float("inf")
         target.draining = info.draining
         if info.claims_primary:
             group.record_primary_registration(target)
             if info.draining:
                 group.suspect(target)
 
+    def _drain_end(self) -> float:
+        """Return the loop time from when a target that drains gets no new work."""
+        age_s = self.report_age_s()
+        if age_s <= _MAX_REPORT_AGE_S:
+            left_s = self.drain_s - age_s - _DRAIN_MARGIN_S
+        elif self.drain_s < float("inf"):
+            left_s = min(self.drain_s - _DRAIN_MARGIN_S, _UNKNOWN_DRAIN_S)
+        else:
+            left_s = self.drain_s
+        return self._loop.time() + max(0.0, left_s)
+
     def on_new_era(self, era: int) -> str:
         """Expect outdated registrations: the store has come back from a copy."""
         self._restored_at = self._loop.time()
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -307,6 +307,13 @@
                     f"this proxy is cut off from service {self.service}",
                     _RETRY_AFTER_S,
                 )
+            if self._has_no_successor():
+                raise StatementError(
+                    Failure.BUSY,
+                    f"the primary of service {self.service} is leaving and no other "
+                    "target answers",
+                    _RETRY_AFTER_S,
+                )
             try:
                 async with asyncio.timeout_at(deadline):
                     await asyncio.shield(self._primary_found)
@@ -371,15 +378,28 @@
         self._wake_waiters()
 
     def _usable_primary(self) -> Target | None:
-        """Return the primary unless it is unresponsive.
+        """Return the primary unless it is unresponsive or gets no new work.
 
         A write sent to an unresponsive primary would be of unknown outcome.
         """
         primary = self.primary_target
         if primary is None or primary.refused_at is not None:
             return None
+        if not primary.takes_work(self._loop.time()):
+            return None
         return primary if primary.unresponsive_since is None else None
 
+    def _has_no_successor(self) -> bool:
+        """Return whether a leaving primary gets no work and nothing can replace it."""
+        primary = self.primary_target
+        if primary is None or primary.takes_work(self._loop.time()):
+            return False
+        return all(
+            tgt.unresponsive_since is not None
+            for tgt in self.targets.values()
+            if tgt is not primary
+        )
+
     def _spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> asyncio.Task:
         task = self._loop.create_task(work)
         self._tasks.add(task)
--- a/src/rosemaryridge/core/_placement.py
+++ b/src/rosemaryridge/core/_placement.py
@@ -54,7 +54,7 @@
     best: Target | None = None
     best_cost = float("inf")
     for target in targets:
-        if target.id in tried or target.draining and target.id != primary:
+        if target.id in tried or _is_leaving(target, primary, now):
             continue
         if target.id != primary and _is_known_to_lag(target, requirement, now):
             continue
@@ -82,7 +82,7 @@
     """
     costs: dict[Distance, list[tuple[float, Target]]] = {}
     for target in targets:
-        if target.id in tried or target.draining and target.id != primary:
+        if target.id in tried or _is_leaving(target, primary, now):
             continue
         if target.id != primary and _is_known_to_lag(target, requirement, now):
             continue
@@ -124,6 +124,11 @@
     return entry[0]
 
 
+def _is_leaving(target: Target, primary: str | None, now: float) -> bool:
+    """Return whether a target gets no new work; a primary does while it may."""
+    return not target.takes_work(now) or target.draining and target.id != primary
+
+
 def _is_known_to_lag(target: Target, requirement: ReadRequirement, now: float) -> bool:
     return (
         target.probably_lacks(requirement.position, requirement.age_s)
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -193,6 +193,10 @@
             raise StatementError(
                 Failure.BUSY, f"no connection to {target.id} was available in time", 0.2
             ) from None
+        if not target.takes_work(self._loop.time()):
+            target.pool.release(link, pinned)
+            session.trail.append(f"{target.id} is leaving")
+            return None
         link.urgency = Urgency.of(route, deadline)
         waited_s = self._loop.time() - wait_started_at
         if waited_s > _TRACED_WAIT_MIN_S:
--- a/src/rosemaryridge/core/_target.py
+++ b/src/rosemaryridge/core/_target.py
@@ -46,6 +46,8 @@
     # None since the target answered or a connection was opened.
     refused_at: float | None = None
     draining: bool = False
+    # Loop time from when a draining target gets no new work.
+    drain_ends_at: float = float("inf")
     removed_at: float | None = None
 
     @property
@@ -53,6 +55,10 @@
         """Return the target's id."""
         return self.info.id
 
+    def takes_work(self, now: float) -> bool:
+        """Return whether a statement or transaction may still be sent to it."""
+        return now < self.drain_ends_at
+
     def record_response(self, now: float) -> None:
         """Record any answer of the target."""
         self.last_response_at = now
--- a/src/rosemaryridge/core/owners/_targets.py
+++ b/src/rosemaryridge/core/owners/_targets.py
@@ -259,6 +259,12 @@
         found = group.targets.get(target) if group is not None else None
         return found.info if found is not None else None
 
+    def _is_drained(self, place: Place) -> bool:
+        """Return whether a leaving target gets no new work."""
+        group = self._groups.get(place.service)
+        target = group.targets.get(place.target) if group is not None else None
+        return target is not None and not target.takes_work(self._loop.time())
+
     def _find_or_add(self, place: Place) -> _OwnedTarget | None:
         key = (place.service, place.target)
         info = self._find_info(*key)
@@ -349,6 +355,8 @@
             elif takes_slot:
                 owned.turns.enter()
             has_turn = takes_slot
+            if waits and self._is_drained(channel.place):
+                raise _NotSent("the target is leaving", 0.0)
             if channel.connection is None:
                 with steps.measure("connection"):
                     connection = await self._take_connection(
--- a/src/rosemaryridge/core/store/_mirror.py
+++ b/src/rosemaryridge/core/store/_mirror.py
@@ -164,6 +164,8 @@
         self._retry_s = _RETRY_MIN_S
         # No change before this time is missing, on the clock of `boottime`.
         self._current_at = float("-inf")
+        # Changes that are being reported were made after this time.
+        self._reported_after = float("-inf")
         # When the mirror was started, last listed or confirmed by a relay.
         self._confirmed_at = boottime()
 
@@ -198,6 +200,7 @@
         if self._revision is None:
             sent_at = boottime()
             listing = await self._store.list(self.kind)
+            self._reported_after = self._current_at
             self._current_at = self._confirmed_at = sent_at
             self._record_list(listing.revision, listing.objects)
             self._on_list(listing.objects)
@@ -216,6 +219,7 @@
             if boottime() >= waited_until:
                 self._advance(waited_until)
             return True
+        self._reported_after = self._current_at
         self._advance(self._watch_sent_at)
         self._apply(self._revision, changes)
         # Changes come in bursts; the delay lets one call return all of a burst.
@@ -246,6 +250,7 @@
             full=update.full,
             changes=len(update.changes),
         )
+        self._reported_after = self._current_at
         try:
             if update.full:
                 objects = [change.object for change in update.changes]
@@ -346,6 +351,13 @@
         """Return the age in seconds that a change can have without being reported."""
         return boottime() - self._current_at
 
+    def report_age_s(self) -> float:
+        """Return how long ago a change that is being reported was made at the most.
+
+        Infinite in the first list.
+        """
+        return boottime() - self._reported_after
+
     def confirm(self, changed_revision: int, current_at: float) -> None:
         """Take note that a relay knew no change after a revision at a time.
 
--- a/src/rosemaryridge/platform/settings.py
+++ b/src/rosemaryridge/platform/settings.py
@@ -45,6 +45,8 @@
     weight: float
     # Maximum time between SIGTERM and SIGKILL, in seconds.
     grace_s: float
+    # Time for which a target takes new work after its report that it is leaving.
+    drain_s: float
     # Whether a primary that is cut off goes on after a promotion of another target. The
     # platform names only whether it checks the fences of orders; where it does not,
     # nothing stops such a primary either.
@@ -97,6 +99,7 @@
         owners=OwnersMode(os.environ.get(OWNERS_VARIABLE, OwnersMode.AUTO.value)),
         weight=_decode_weight(data["limits"]),
         grace_s=float(bounds.get("grace_s", 6.0)),
+        drain_s=float(bounds.get("drain_ms", "inf")) / 1000.0,
         deposed_go_on=not bounds.get("enforce_fencing", True),
         takes_changes=(
             float(bounds.get("config_apply_ms", 0)) >= _MIN_APPLY_FOR_RELAYED_MS
--- a/src/rosemaryridge_testbed/site/_site.py
+++ b/src/rosemaryridge_testbed/site/_site.py
@@ -41,6 +41,7 @@
     timeout_ms: int = 1000
     max_staleness_ms: int = 1500
     tx_idle_ms: int = 500
+    drain_ms: int = 7000
     # Without businesses, no session needs a key.
     businesses: tuple[SiteBusiness, ...] = ()
     quota_window_s: int = 5
@@ -160,7 +161,7 @@
             "heartbeat_ms": 1200,
             "bounds": {
                 "grace_s": 6,
-                "drain_ms": 7000,
+                "drain_ms": self.options.drain_ms,
                 "enforce_fencing": self.options.fenced,
                 "config_apply_ms": self.options.config_apply_ms or 0,
                 **self._business_bounds(),
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import tempfile
+import time
 import unittest
 
 from rosemaryridge.cli.entry import Entry
@@ -20,6 +21,7 @@
 from rosemaryridge_testbed.site import Client
 from rosemaryridge_testbed.site import Site
 from rosemaryridge_testbed.site import SiteOptions
+from rosemaryridge_testbed.site._site import ROUTES
 
 
 class SiteCase(unittest.IsolatedAsyncioTestCase):
@@ -695,6 +697,56 @@
         self.assertEqual((await client.execute("WRITE k d")).code, "")
 
 
+class DrainedPrimaryTest(SiteCase):
+    """Guard against requests at a leaving primary for longer than `drain_ms`."""
+
+    options = SiteOptions(drain_ms=2500, tx_idle_ms=5000)
+
+    def late_statements(self, confirmed_at):
+        limit = confirmed_at + self.options.drain_ms / 1000.0
+        return [
+            statement.text
+            for statement in self.group.executed
+            if statement.id != "-"
+            and statement.target == "books-0"
+            and statement.at > limit
+            and statement.text.split()[0] in ("READ", "WRITE")
+        ]
+
+    async def test_it_gets_nothing_new_without_a_successor(self):
+        clients = {kind: await self.client(f"books-{kind}") for kind in ROUTES}
+        for client in clients.values():
+            self.assertEqual((await client.execute("READ k")).code, "")
+        for number in (1, 2):
+            self.target(number).fault = "mute"
+        self.target(0).draining = True
+        self.site.register(self.target(0))
+        confirmed_at = time.monotonic()
+        served = 0
+        while time.monotonic() < confirmed_at + 1.0:
+            served += (await clients["orders"].execute("WRITE k d")).code == ""
+        self.assertGreater(served, 10)
+        while time.monotonic() < confirmed_at + 4.0:
+            await asyncio.gather(*(c.execute("READ k") for c in clients.values()))
+            await clients["orders"].execute("WRITE k d")
+        self.assertEqual(self.late_statements(confirmed_at), [])
+        started_at = time.monotonic()
+        self.assertEqual((await clients["orders"].execute("WRITE k d")).code, "BUSY")
+        self.assertLess(time.monotonic() - started_at, 0.2)
+        # The first of the others that answers is promoted.
+        self.target(1).fault = ""
+        await self.until(lambda: self.group.primary == "books-1")
+        await self.until_served(clients["orders"])
+        self.assertEqual(self.late_statements(confirmed_at), [])
+
+    async def until_served(self, client):
+        for _ in range(50):
+            if not (await client.execute("WRITE k d")).code:
+                return
+            await asyncio.sleep(0.1)
+        self.fail("no write is served")
+
+
 class ShutdownTest(SiteCase):
     """Guard against statements that are cut off at the end of a shutdown."""
 
--- a/tests/integration/test_site_owners.py
+++ b/tests/integration/test_site_owners.py
@@ -58,6 +58,12 @@
         self.assertLess(connections, 3 * self.proxies)
 
 
+class OwnedDrainedPrimaryTest(_OwnersCase, test_site.DrainedPrimaryTest):
+    """The same where requests wait at an owner."""
+
+    proxies = 3
+
+
 class OwnerLossTest(_OwnersCase):
     async def test_a_killed_owner_is_replaced_by_the_reserve(self):
         owner = self.owner_of(0)
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -154,6 +154,32 @@
     def target(self):
         return self.directory.group("books").targets.get("a")
 
+    async def test_a_draining_target_gets_no_work_after_its_time(self):
+        # Guards against a time that is counted from when this proxy learned of it.
+        now = asyncio.get_running_loop().time()
+        for drain_s, age_s, least, most in (
+            (7.0, 0.0, 6.0, 7.0),
+            (7.0, 3.0, 3.0, 4.0),
+            (7.0, 60.0, 2.0, 5.0),
+            (2.0, float("inf"), 0.0, 2.0),
+            (2.0, 4.0, -1.0, 0.1),
+        ):
+            self.directory.drain_s = drain_s
+            self.directory.report_age_s = lambda age_s=age_s: age_s
+            self.directory.put(self.info(1))
+            self.assertTrue(self.target.takes_work(now + 1000.0))
+            self.directory.put(self.info(2, draining=True))
+            self.directory.put(self.info(3, draining=True))
+            self.assertTrue(self.target.takes_work(now + least))
+            self.assertFalse(self.target.takes_work(now + most))
+
+    async def test_without_a_bound_a_draining_target_gets_work(self):
+        for age_s in (0.0, float("inf")):
+            self.directory.report_age_s = lambda age_s=age_s: age_s
+            self.directory.put(self.info(1))
+            self.directory.put(self.info(2, draining=True))
+            self.assertTrue(self.target.takes_work(1e9))
+
     async def test_a_draining_target_stays_draining(self):
         self.directory.put(self.info(5))
         self.directory.put(self.info(9, draining=True))
