--- a/src/rosemaryridge_testbed/site/_target.py
+++ b/src/rosemaryridge_testbed/site/_target.py
@@ -386,7 +386,8 @@
 
     async def _set(self, connection: _Connection, rest: str) -> tuple[list, str]:
         name, value = rest.split(" ", 1)
-        connection.values[name] = value
+        if self.plant != "valueless":
+            connection.values[name] = value
         return [], "-"
 
     async def _prepare(self, connection: _Connection, rest: str) -> tuple[list, str]:
--- a/src/rosemaryridge_testbed/soak/_callers.py
+++ b/src/rosemaryridge_testbed/soak/_callers.py
@@ -10,6 +10,7 @@
 from rosemaryridge_testbed.site import Reply
 from rosemaryridge_testbed.site import Site
 from rosemaryridge_testbed.site._site import ROUTES
+from rosemaryridge_testbed.site._target import ExecutedStatement
 from rosemaryridge_testbed.soak._ledger import Ledger
 from rosemaryridge_testbed.soak._ledger import Read
 
@@ -17,6 +18,8 @@
 _TRANSACTION_SHARE = 0.3
 _RECONNECT_SHARE = 0.1
 _PAUSE_S = 0.02
+# The session value that names the caller; its writes must run with it.
+OWNER = "owner"
 _CONNECTION_ERRORS = (OSError, asyncio.IncompleteReadError, TimeoutError)
 
 
@@ -69,6 +72,7 @@
             database = f"{self._service}-{kind}"
             async with asyncio.timeout(3.0):
                 self._clients[kind] = await Client.open(address, database, self._key)
+            await self._clients[kind].execute(f"SET {OWNER} {self._item}")
         return self._clients[kind]
 
     def _drop(self, kind: str) -> None:
@@ -130,6 +134,15 @@
         return reply.outcome
 
 
+def count_foreign(executed: t.Iterable[ExecutedStatement]) -> int:
+    """Return how many writes of callers ran without their session's value."""
+    return sum(
+        statement.values.get(OWNER) != statement.text.split()[1]
+        for statement in executed
+        if statement.id != "-" and statement.text.startswith("WRITE k")
+    )
+
+
 class Flood:
     """Send reads of one business as fast as they are answered, through all proxies."""
 
--- a/src/rosemaryridge_testbed/soak/_ledger.py
+++ b/src/rosemaryridge_testbed/soak/_ledger.py
@@ -21,6 +21,7 @@
     OWNER = "a statement runs as the business of its caller"
     QUOTA = "a business stays within its quota over all proxies"
     REVOKED = "a key that was taken away is refused soon after the last fault"
+    PINNED = "a write runs with the session value of its caller"
     UNSIGNED = "a success carries its target's signature"
 
 
--- a/src/rosemaryridge_testbed/soak/_soak.py
+++ b/src/rosemaryridge_testbed/soak/_soak.py
@@ -26,6 +26,7 @@
 from rosemaryridge_testbed.soak import _businesses
 from rosemaryridge_testbed.soak._callers import Caller
 from rosemaryridge_testbed.soak._callers import Flood
+from rosemaryridge_testbed.soak._callers import count_foreign
 from rosemaryridge_testbed.soak._faults import FAULTS
 from rosemaryridge_testbed.soak._ledger import Ledger
 from rosemaryridge_testbed.soak._ledger import Rule
@@ -153,6 +154,7 @@
         violations = self.ledger.count_violations(
             log, self.group.rolled_back, set(self.group.split_commits)
         )
+        violations[Rule.PINNED] += count_foreign(self.group.executed)
         violations[Rule.RECOVER] += not recovered
         violations[Rule.CONFIG] += outdated
         violations[Rule.REVOKED] += revoked
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -52,6 +52,7 @@
             "refused": Rule.REFUSED,
             "stale": Rule.STALE,
             "unsigned": Rule.UNSIGNED,
+            "valueless": Rule.PINNED,
             "unseen": Rule.CONFIG,
         }
         for plant, rule in plants.items():
