--- a/src/rosemaryridge/core/_session.py
+++ b/src/rosemaryridge/core/_session.py
@@ -162,8 +162,12 @@
                 record_applied(link, command)
             elif refused is None or answer.failure not in NOT_RUN:
                 refused = answer
-    except TargetLost as exc:
-        raise TargetLost(str(exc), sent=False) from None
+    except BaseException as exc:
+        # Which of the commands the target carries out is not known.
+        link.close()
+        if isinstance(exc, TargetLost):
+            raise TargetLost(str(exc), sent=False) from None
+        raise
     if refused is None:
         return None
     state = link.state
--- a/tests/test_core_session.py
+++ b/tests/test_core_session.py
@@ -1,5 +1,7 @@
+import asyncio
 import unittest
 
+from rosemaryridge.core import Answer
 from rosemaryridge.core import Failure
 from rosemaryridge.core import Statement
 from rosemaryridge.core import StatementError
@@ -7,6 +9,7 @@
 from rosemaryridge.core import Verb
 from rosemaryridge.core._session import PreparedNames
 from rosemaryridge.core._session import Session
+from rosemaryridge.core._session import apply_settings
 from rosemaryridge.core._session import record_applied
 from rosemaryridge.core._session import required_position
 from rosemaryridge.core.commands import Prepare
@@ -37,6 +40,22 @@
     return Statement(b"1", Verb.EXECUTE, b"", name, b"1a4")
 
 
+class ApplySettingsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_wait_that_ends_early_closes_the_connection(self):
+        # Guards against values that the target carries out after nobody waits.
+        link, loop = StubLink(), asyncio.get_running_loop()
+        answered, pending = loop.create_future(), loop.create_future()
+        answered.set_result(Answer())
+        link.closed = False
+        link.send = lambda *commands: [answered, pending]
+        link.close = lambda: setattr(link, "closed", True)
+        commands = [SetValue(b"a", b"1"), SetValue(b"b", b"2")]
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.01):
+                await apply_settings(link, commands)
+        self.assertTrue(link.closed)
+
+
 class RequiredPositionTest(unittest.TestCase):
     def requirement(self, last_commit, minimum):
         session = Session(b"db")
