--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -262,6 +262,12 @@
             on_failed,
             self._rng,
         )
+        pool.on_left_open = lambda link: self._log.write(
+            "transaction_left_open",
+            service=group.service,
+            target=info.id,
+            state=link.state.name.lower(),
+        )
         target = Target(info, pool)
         group.targets[info.id] = target
         self._log.write(
--- a/src/rosemaryridge/core/_pool.py
+++ b/src/rosemaryridge/core/_pool.py
@@ -94,6 +94,8 @@
         self.limit = limit
         self.admission = Admission(limit, rng)
         self.idle_policy = IdlePolicy()
+        # Called with a connection that is given back with an open transaction.
+        self.on_left_open: t.Callable[[TargetLink], None] = lambda link: None
         self._connect = connect
         self._on_opened = on_opened
         self._on_failed = on_failed
@@ -211,6 +213,8 @@
         self._in_use -= 1
         self._pinned -= pinned
         is_former = self._generations.get(link) != self._generation
+        if link.state is not TransactionState.IDLE and not (link.closed or link.busy):
+            self.on_left_open(link)
         if (
             not is_reusable(link)
             or self._closed
--- a/tests/integration/test_refusals.py
+++ b/tests/integration/test_refusals.py
@@ -30,6 +30,7 @@
             reply = await client.execute(f"WRITE k d{number}")
             self.assertEqual(reply.code, "")
             self.assertEqual(self.target(0).log[-1].data, f"d{number}")
+        self.assertEqual(self.events().count("transaction_left_open"), 5)
 
     async def test_a_write_after_a_callers_rollback_is_kept(self):
         client = await self.client("books-orders")
