Send session state along with BEGIN, and no attempt that cannot end

A write that was sent some milliseconds before its deadline ended as unknown; seen twice in OwnedRefusedSettingsTest.test_values_that_are_always_refused beside load. Cause: the state had a round trip of its own also before a transaction; and a retry could follow until the deadline. Change: the state goes out with BEGIN, the first statement follows the answers to both.

--- a/src/rosemaryridge/core/_backoff.py
+++ b/src/rosemaryridge/core/_backoff.py
@@ -10,6 +10,9 @@
 # time.
 _MIN_DELAY_S = 0.03
 _MAX_DELAY_S = 0.24
+# A target in another region needs this much time for an answer; without one by the
+# deadline, it would not be known whether the statement ran.
+_MIN_ATTEMPT_S = 0.05
 # Retry-After for a caller whose statement found no free target before its deadline.
 _RETRY_AFTER_S = 0.2
 # Failures reported to the caller unchanged; others are reported as BUSY.
@@ -30,7 +33,8 @@
         """Wait before a retry; raise StatementError if the deadline leaves no time."""
         delay_s = self._delay_s * self._rng.uniform(0.7, 1.3)
         self._delay_s = min(_MAX_DELAY_S, 2 * self._delay_s)
-        if asyncio.get_running_loop().time() + delay_s >= self._deadline:
+        next_at = asyncio.get_running_loop().time() + delay_s
+        if next_at + _MIN_ATTEMPT_S >= self._deadline:
             if failure not in _REPORTED_UNCHANGED:
                 failure = Failure.BUSY
             raise StatementError(failure, reason, _RETRY_AFTER_S)
--- a/src/rosemaryridge/core/_reader.py
+++ b/src/rosemaryridge/core/_reader.py
@@ -111,7 +111,9 @@
         at_once = link.stops_at_failure
         try:
             if not at_once:
-                answer = await self._runner.begin(group, target, link, deadline)
+                answer = await self._runner.begin(
+                    session, group, target, link, deadline, statement=statement
+                )
                 if not answer.ok:
                     self._runner.release(group, target, link, answer)
                     return answer
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -15,6 +15,7 @@
 from rosemaryridge.core._session import PreparedNames
 from rosemaryridge.core._session import Session
 from rosemaryridge.core._session import apply_settings
+from rosemaryridge.core._session import confirm_settings
 from rosemaryridge.core._statement import NOT_RUN
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
@@ -339,24 +340,33 @@
 
     async def begin(
         self,
+        session: Session,
         group: Group,
         target: Target,
         link: TargetLink,
         deadline: float,
         read_only: bool = False,
         min_position: Position | None = None,
+        statement: Statement | None = None,
     ) -> Answer:
         """Open a transaction; raise TargetLost or TimeoutError.
 
-        The answer to a BEGIN that is not read-only shows whether the target is the
-        primary; the group records it.
+        The session's state, with the prepared name of the first statement if it is
+        known, takes no round trip of its own. The answer to a BEGIN that is not
+        read-only shows whether the target is the primary; the group records it.
         """
         requested_at = boottime()
-        (fut,) = link.send(Begin(read_only, min_position))
+        settings: list[Command] = []
+        if not link.stops_at_failure:
+            settings, _ = session.preamble(link, statement, self._names)
+        *setting_futs, fut = link.send(*settings, Begin(read_only, min_position))
         probe = self._schedule_probe(group, target)
         try:
             async with asyncio.timeout_at(deadline):
+                refusal = await confirm_settings(link, settings, setting_futs)
                 answer = await fut
+                if refusal is not None and answer.ok:
+                    await link.send(Rollback())[0]
         finally:
             probe.cancel()
         if answer.retry_after_s is not None:
@@ -364,7 +374,7 @@
         target.record_response(self._loop.time())
         if not read_only:
             group.record_begin_answer(target, answer, requested_at)
-        return answer
+        return answer if refusal is None else refusal
 
     async def roll_back(
         self, target: Target, link: TargetLink, pinned: bool = False
--- a/src/rosemaryridge/core/_session.py
+++ b/src/rosemaryridge/core/_session.py
@@ -154,9 +154,18 @@
     The statement that needs the state is then not sent, and its answer is the returned
     one. Raises TargetLost with `sent` false.
     """
+    return await confirm_settings(link, commands, link.send(*commands))
+
+
+async def confirm_settings(
+    link: TargetLink,
+    commands: t.Sequence[Command],
+    futs: t.Sequence[t.Awaitable[Answer]],
+) -> Answer | None:
+    """Await the answers to the commands of a session's state, as `apply_settings`."""
     refused = None
     try:
-        for command, fut in zip(commands, link.send(*commands), strict=True):
+        for command, fut in zip(commands, futs, strict=True):
             answer = await fut
             if answer.ok:
                 record_applied(link, command)
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -259,6 +259,7 @@
         requested_at = boottime()
         try:
             answer = await self._runner.begin(
+                self._session,
                 self._group,
                 target,
                 link,
