End connections of the stand-in that are accepted as it crashes

Cause: a connection that the target's stand-in had accepted, but did not serve yet, outlived its crash. The write of the test succeeded on it, and nobody noticed the crash. Change: the stand-in aborts such connections.

--- a/src/rosemaryridge_testbed/site/_target.py
+++ b/src/rosemaryridge_testbed/site/_target.py
@@ -146,6 +146,7 @@
         self.refuses: t.Callable[[str], bool] = lambda word: False
         # Bytes that are sent in place of every answer.
         self.garbage = b""
+        self._crashed = False
         # Whether the other targets cannot reach this one.
         self.cut_off = False
         # The term that this target leads although another target was promoted.
@@ -210,11 +211,13 @@
 
     async def restart(self) -> None:
         """Listen again on the same port, with the log unchanged."""
+        self._crashed = False
         if self._server is None or not self._server.is_serving():
             await self.start(self._port)
 
     async def crash(self) -> None:
         """Stop listening and abort every connection."""
+        self._crashed = True
         if self._server is not None:
             self._server.close()
         for writer in self._writers:
@@ -239,6 +242,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._crashed:
+            # The connection was accepted before the crash.
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             business = await self._accept_session(reader, writer)
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import socket
 import tempfile
 import time
 import unittest
@@ -810,6 +811,38 @@
         self.assertEqual(set(codes) - {"", "ABORTED", "BUSY"}, set())
 
 
+class CrashedTargetTest(unittest.IsolatedAsyncioTestCase):
+    def serves(self, sock):
+        """Return whether a connection is open and has been answered."""
+        sock.setblocking(False)
+        data = b""
+        try:
+            while part := sock.recv(100):
+                data += part
+        except BlockingIOError:
+            return data != b""
+        except ConnectionError:
+            pass
+        return False
+
+    async def test_a_connection_that_is_being_accepted_ends_with_the_target(self):
+        # Guards against tests in which a crashed target goes on serving.
+        site = Site()
+        await site.start()
+        self.addAsyncCleanup(site.stop)
+        target = site.groups["books"].targets["books-0"]
+        host, _, port = target.address.partition(":")
+        for passes in range(8):
+            await target.restart()
+            with socket.create_connection((host, int(port))) as sock:
+                sock.sendall(b"START books x books-0\r\n")
+                for _ in range(passes):
+                    await asyncio.sleep(0)
+                await target.crash()
+                await asyncio.sleep(0.05)
+                self.assertFalse(self.serves(sock), passes)
+
+
 class IsolationTest(SiteCase):
     async def test_a_refused_caller_is_disconnected_while_the_proxy_is_isolated(self):
         client = await self.client("books-orders")
