--- a/src/rosemaryridge/platform/documents.py
+++ b/src/rosemaryridge/platform/documents.py
@@ -24,8 +24,7 @@
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 _DRAINING_BY_PHASE = {"ready": False, "draining": True}
 _PRIMARY_BY_ROLE = {"primary": True, "replica": False}
-# Statements that a target may run at a time, milliseconds, and counts: larger values
-# are no ones that a target reports.
+# Larger values make an entry unreadable: later arithmetic with them could overflow.
 _MAX_SLOTS = 1_000_000
 _MAX_NUMBER = 2**53
 _MAX_NAME_CHARS = 256
