--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -358,9 +358,11 @@
                 if not self._callers.connections and not owners_busy:
                     break
             await asyncio.sleep(_DRAIN_POLL_S)
-        self._log.write("stopped", callers=len(self._callers.connections))
+        callers, ended = len(self._callers.connections), self._callers.end_statements()
+        self._log.write("stopped", callers=callers, ended=ended)
+        # Lets the last answers be written, and the transports flush them.
+        await asyncio.sleep(_DRAIN_POLL_S)
         self._callers.close()
-        # Lets the transports flush the last answers.
         await asyncio.sleep(_DRAIN_POLL_S)
 
     def _collect_gauges(
--- a/src/rosemaryridge/core/_caller.py
+++ b/src/rosemaryridge/core/_caller.py
@@ -22,6 +22,7 @@
 _Handler = t.Callable[["Caller", Statement], t.Awaitable[Answer]]
 _HANDLERS: dict[Verb, _Handler] = {}
 _STOPPING = "the proxy stops before the statement could end"
+_STOPPED = "the proxy stopped before the target answered"
 _TRANSACTION_ENDS = (Verb.COMMIT, Verb.ROLLBACK)
 
 
@@ -68,6 +69,8 @@
         self._proxy = proxy
         self._session = Session(database, key)
         self._transaction: Transaction | None = None
+        # The time limit of the statement that is being served.
+        self._limit: asyncio.Timeout | None = None
 
     @property
     def state(self) -> TransactionState:
@@ -83,8 +86,9 @@
         started_at = asyncio.get_running_loop().time()
         self._session.trail.clear()
         self._session.steps.elapsed_s.clear()
+        self._session.sent = False
         try:
-            answer = await self._serve(statement)
+            answer = await self._serve_until_ended(statement)
         except StatementError as exc:
             detail = exc.detail
             if exc.retry_after_s is not None:
@@ -103,6 +107,17 @@
             return exc.failure is not Failure.NOT_AUTHORIZED
         return True
 
+    def end_statement(self) -> bool:
+        """Answer the statement that is being served now; return whether there is one.
+
+        The process ends: its caller learns what has become of the statement, and may
+        go on at another proxy.
+        """
+        if self._limit is None or self._limit.expired():
+            return False
+        self._limit.reschedule(asyncio.get_running_loop().time())
+        return True
+
     def malformed_answer(self, detail: str) -> Answer:
         """Return the answer to a message that cannot be parsed."""
         return Answer(failure=Failure.MALFORMED, detail=detail, state=self.state)
@@ -113,6 +128,30 @@
             self._transaction.roll_back()
             self._transaction = None
 
+    async def _serve_until_ended(self, statement: Statement) -> Answer:
+        try:
+            async with asyncio.timeout(None) as self._limit:
+                return await self._serve(statement)
+        except TimeoutError:
+            if self._limit is None or not self._limit.expired():
+                raise
+            raise self._ended_error(statement) from None
+        finally:
+            self._limit = None
+
+    def _ended_error(self, statement: Statement) -> StatementError:
+        """Return what has become of a statement that the end of the process cut off."""
+        if self._transaction is not None:
+            self._transaction.abort()
+            return StatementError(Failure.ABORTED, _STOPPED, 0.0)
+        ends_transaction = statement.verb is Verb.COMMIT
+        if not self._session.sent:
+            failure = Failure.ABORTED if ends_transaction else Failure.BUSY
+            return StatementError(failure, _STOPPING, 0.0)
+        if ends_transaction or not self._session.is_read(statement):
+            return StatementError(Failure.UNKNOWN_OUTCOME, _STOPPED)
+        return StatementError(Failure.BUSY, _STOPPED, 0.0)
+
     async def _serve(self, statement: Statement) -> Answer:
         if (
             self.state is TransactionState.FAILED
--- a/src/rosemaryridge/core/_reader.py
+++ b/src/rosemaryridge/core/_reader.py
@@ -136,6 +136,9 @@
                 Failure.TIMEOUT,
                 f"{target.id} did not answer a read before the deadline",
             ) from None
+        except asyncio.CancelledError:
+            target.pool.discard(link)
+            raise
         if at_once:
             self._runner.release(group, target, link, answer)
         else:
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -132,6 +132,9 @@
                 Failure.UNKNOWN_OUTCOME,
                 f"{target.id} did not answer a write before the deadline",
             ) from None
+        except asyncio.CancelledError:
+            target.pool.discard(link)
+            raise
         self.release(group, target, link, answer)
         if answer.ok and answer.state is not TransactionState.IDLE:
             # It ran in a transaction of which this session knows nothing.
@@ -243,8 +246,13 @@
             else:
                 commands = [*preamble, *commands]
             if answer is None:
+                session.sent = True
                 with session.steps.measure("target"):
                     answer = await self._send(link, commands, deadline, in_transaction)
+            session.sent = answer.failure not in NOT_RUN
+        except TargetLost as exc:
+            session.sent = exc.sent
+            raise
         finally:
             target.outstanding -= 1
             probe.cancel()
--- a/src/rosemaryridge/core/_session.py
+++ b/src/rosemaryridge/core/_session.py
@@ -58,6 +58,8 @@
         # Events of the current statement, for its log line.
         self.trail: list[str] = []
         self.steps = StepTimes()
+        # Whether the current statement is at a target, or has run there.
+        self.sent = False
         # Log position of the session's last acknowledged commit.
         self.last_commit: Position = ORIGIN
         # Time of its acknowledgement, on the clock of `boottime`.
--- a/src/rosemaryridge/core/_shutdown.py
+++ b/src/rosemaryridge/core/_shutdown.py
@@ -24,15 +24,20 @@
 
     @property
     def ends_at(self) -> float:
-        """Return when the connections of callers are closed."""
+        """Return when each statement that is left is answered, and connections end."""
         return self.started_at + self.grace_s - EXIT_MARGIN_S
 
     def takes_statement(self, now: float, timeout_s: float) -> bool:
-        """Return whether a statement is answered before the end."""
+        """Return whether a statement is still sent to a target.
+
+        In the first half of the grace period it is also if its timeout lies beyond the
+        end: most take far less. One that does not is answered at the end.
+        """
         if self.takes_transaction(now):
             return True
         return now + timeout_s + _ANSWER_SLACK_S <= self.ends_at
 
     def takes_transaction(self, now: float) -> bool:
         """Return whether a transaction may still begin."""
-        return now <= self.started_at + _OPEN_SHARE * self.grace_s
+        until = self.started_at + _OPEN_SHARE * self.grace_s
+        return now <= min(until, self.ends_at)
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -122,7 +122,7 @@
         deadline = self._loop.time() + self._route.timeout_s
         try:
             return await self._commit(statement, deadline)
-        except StatementError:
+        except (StatementError, asyncio.CancelledError):
             self._end()
             raise
 
--- a/src/rosemaryridge/platform/callers.py
+++ b/src/rosemaryridge/platform/callers.py
@@ -124,6 +124,10 @@
         detail = f"{self._server.shutdown_reason}; retry after 0 ms"
         self._write(wire.encode_failure(Failure.BUSY, detail))
 
+    def end_statement(self) -> bool:
+        """Answer the statement that is being served; return whether there is one."""
+        return self._caller is not None and self._caller.end_statement()
+
     def close(self) -> None:
         """Close the connection."""
         self._close()
@@ -280,6 +284,10 @@
         if self._server is not None:
             self._server.close()
 
+    def end_statements(self) -> int:
+        """Answer each statement that is being served; return how many there are."""
+        return sum(connection.end_statement() for connection in self.connections)
+
     def close(self) -> None:
         """Close every connection."""
         for connection in list(self.connections):
--- a/src/rosemaryridge_testbed/site/_site.py
+++ b/src/rosemaryridge_testbed/site/_site.py
@@ -42,6 +42,7 @@
     max_staleness_ms: int = 1500
     tx_idle_ms: int = 500
     drain_ms: int = 7000
+    grace_s: float = 6
     # Without businesses, no session needs a key.
     businesses: tuple[SiteBusiness, ...] = ()
     quota_window_s: int = 5
@@ -160,7 +161,7 @@
             "limits": {"memory_mb": 222, "max_fds": 1600},
             "heartbeat_ms": 1200,
             "bounds": {
-                "grace_s": 6,
+                "grace_s": self.options.grace_s,
                 "drain_ms": self.options.drain_ms,
                 "enforce_fencing": self.options.fenced,
                 "config_apply_ms": self.options.config_apply_ms or 0,
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -811,6 +811,66 @@
         self.assertEqual(set(codes) - {"", "ABORTED", "BUSY"}, set())
 
 
+class EndedStatementsTest(SiteCase):
+    """Guard against statements that a stopping process takes and never answers.
+
+    Their route's timeout lies beyond its end.
+    """
+
+    options = SiteOptions(timeout_ms=20_000, tx_idle_ms=20_000, grace_s=3)
+
+    async def answers_at_the_end(self, before, after=()):
+        """Return the codes of the answers; each comes at the end of the process.
+
+        The statements are sent before and after the signal.
+        """
+        loop = asyncio.get_running_loop()
+        tasks = [loop.create_task(client.execute(text)) for client, text in before]
+        await asyncio.sleep(0.1)
+        stopped_at = loop.time()
+        self.entries[0].stop()
+        await asyncio.sleep(1.0)
+        tasks += [loop.create_task(client.execute(text)) for client, text in after]
+        async with asyncio.timeout(3.0):
+            replies = await asyncio.gather(*tasks)
+        self.assertGreater(loop.time() - stopped_at, 2.0)
+        self.assertLess(loop.time() - stopped_at, 3.0)
+        return [reply.code for reply in replies]
+
+    def hold_slots(self):
+        for target in self.group.targets.values():
+            target.work_s = 10.0
+
+    async def test_the_answers_tell_what_may_have_run(self):
+        read, primary_read, write = (
+            await self.client("books-browse"),
+            await self.client("books-orders"),
+            await self.client("books-orders"),
+        )
+        opened = [await self.client("books-orders") for _ in range(2)]
+        for client in opened:
+            await client.execute("BEGIN")
+            await client.execute("WRITE k inside")
+        self.hold_slots()
+        codes = await self.answers_at_the_end(
+            [(read, "READ k"), (primary_read, "READ k"), (write, "WRITE k single")],
+            [(opened[0], "WRITE k more"), (opened[1], "COMMIT")],
+        )
+        self.assertEqual(codes, ["BUSY", "BUSY", "INDOUBT", "ABORTED", "INDOUBT"])
+        self.assertIn('"ended": 5', self.events())
+
+    async def test_a_write_that_was_not_sent_is_refused(self):
+        client = await self.client("books-orders")
+        pool = self.entries[0]._proxy.directory.groups["books"].targets["books-0"].pool
+        until = asyncio.get_running_loop().time() + 1.0
+        while pool.free:
+            await pool.acquire(0, until)
+        codes = await self.answers_at_the_end([(client, "WRITE k d")])
+        self.assertEqual(codes, ["BUSY"])
+        ran = [one.text for one in self.group.executed]
+        self.assertNotIn("WRITE k d", ran)
+
+
 class CrashedTargetTest(unittest.IsolatedAsyncioTestCase):
     def serves(self, sock):
         """Return whether a connection is open and has been answered."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -25,6 +25,12 @@
         # Also those whose statements may take longer than that.
         self.assertTrue(shutdown.takes_statement(103.0, 20.0))
 
+    def test_nothing_is_taken_after_the_end(self):
+        # Half of a short grace period lies behind the end.
+        shutdown = Shutdown(100.0, 1.0)
+        self.assertFalse(shutdown.takes_transaction(100.4))
+        self.assertFalse(shutdown.takes_statement(100.4, 0.0))
+
     def test_the_connections_end_before_the_process_is_killed(self):
         self.assertLess(Shutdown(100.0, 6.0).ends_at, 106.0)
 
