Refuse batches that a stopping owner cannot end

What callers saw: commits through other proxies ended as unknown when the owner of their target, which had been told to stop, ended: planned work. Cause: an owner served batches until its end and closed its streams then. Change: from SIGTERM on it refuses what cannot end in time, new work at once and open transactions after half of the grace period, and answers what is left before its streams end.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -260,6 +260,8 @@
         if self._cfg.owners is not OwnersMode.DIRECT:
             directory.is_owned = self._owners.is_owned
         self._owners.set_peers(self._listed_peers)
+        if self._proxy.shutdown is not None:
+            self._owners.stop(self._proxy.shutdown)
         return self._owners
 
     def _accept_stream(self) -> asyncio.Protocol:
@@ -347,10 +349,10 @@
         started_at = loop.time()
         self._log.write("stopping", callers=len(self._callers.connections))
         self._failover.stopping = True
+        shutdown = self._proxy.shutdown = Shutdown(started_at, self._cfg.grace_s)
         if self._owners is not None:
-            self._owners.stop()
-        self._proxy.shutdown = Shutdown(started_at, self._cfg.grace_s)
-        while loop.time() < self._proxy.shutdown.ends_at:
+            self._owners.stop(shutdown)
+        while loop.time() < shutdown.ends_at:
             self._callers.drain()
             if loop.time() - started_at > _BALANCER_DELAY_S:
                 self._callers.stop_listening()
@@ -359,7 +361,8 @@
                     break
             await asyncio.sleep(_DRAIN_POLL_S)
         callers, ended = len(self._callers.connections), self._callers.end_statements()
-        self._log.write("stopped", callers=callers, ended=ended)
+        batches = self._owners.end_batches() if self._owners is not None else 0
+        self._log.write("stopped", callers=callers, ended=ended, batches=batches)
         # Lets the last answers be written, and the transports flush them.
         await asyncio.sleep(_DRAIN_POLL_S)
         self._callers.close()
--- a/src/rosemaryridge/core/_shutdown.py
+++ b/src/rosemaryridge/core/_shutdown.py
@@ -37,6 +37,16 @@
             return True
         return now + timeout_s + _ANSWER_SLACK_S <= self.ends_at
 
+    def takes_batch(self, now: float, deadline: float, in_transaction: bool) -> bool:
+        """Return whether a batch of another proxy is still served.
+
+        New work goes to another owner at once, so that it is refused wherever its
+        deadline lies beyond the end; an open transaction cannot.
+        """
+        if in_transaction and self.takes_transaction(now):
+            return True
+        return deadline <= self.ends_at
+
     def takes_transaction(self, now: float) -> bool:
         """Return whether a transaction may still begin."""
         until = self.started_at + _OPEN_SHARE * self.grace_s
--- a/src/rosemaryridge/core/owners/_targets.py
+++ b/src/rosemaryridge/core/owners/_targets.py
@@ -17,6 +17,7 @@
 from rosemaryridge.core._session import PreparedNames
 from rosemaryridge.core._session import apply_settings
 from rosemaryridge.core._session import value_commands
+from rosemaryridge.core._shutdown import Shutdown
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
 from rosemaryridge.core._statement import Statement
@@ -60,6 +61,7 @@
 _SLOW_S = 0.25
 # Idle connections are kept this long: an owner needs a few of them all the time.
 _IDLE_S = 15.0
+_STOPPING = "the owner stops before the batch could end"
 # Limit on the batches that wait on one link; a sender has one or two under way.
 _MAX_BATCHES_PER_LINK = 8
 
@@ -153,6 +155,8 @@
         default_factory=collections.deque
     )
     task: asyncio.Task[None] | None = None
+    # The batch that is being served.
+    current: Batch | None = None
     owned: _OwnedTarget | None = None
     connection: TargetLink | None = None
     # Whether a statement of the open transaction has run.
@@ -183,6 +187,8 @@
         self._names = PreparedNames()
         self._owned: dict[tuple[str, str], _OwnedTarget] = {}
         self._channels: dict[tuple[ReplySink, int], _Channel] = {}
+        # The plan of the shutdown, None before it.
+        self.shutdown: Shutdown | None = None
         self._tasks: set[asyncio.Task[t.Any]] = set()
         self._loop = asyncio.get_running_loop()
         metrics.add_gauges(self._gauges)
@@ -210,10 +216,54 @@
             sent_at + to_s(batch.deadline_ms),
             batch.accepts_late,
         )
+        if not self._may_end(channel, urgency):
+            reply = NotRun(batch.number, _STOPPING, 0.0, True)
+            self._record(channel, batch, reply)
+            sink.send(reply)
+            # An open transaction is rolled back.
+            self.close_link(sink, batch.link)
+            return
         channel.batches.append((batch, urgency))
         if channel.task is None:
             channel.task = self._spawn(self._serve_channel(channel))
 
+    def _may_end(self, channel: _Channel, urgency: Urgency) -> bool:
+        """Return whether a batch is answered before this process ends."""
+        if self.shutdown is None:
+            return True
+        now = self._loop.time()
+        deadline = now + urgency.deadline - boottime()
+        in_transaction = channel.connection is not None
+        return self.shutdown.takes_batch(now, deadline, in_transaction)
+
+    def end_batches(self) -> int:
+        """Answer what is outstanding, as the process ends; return how many there were.
+
+        A sender tells its caller at once what was not run, and goes on elsewhere.
+        """
+        ended = 0
+        for channel in list(self._channels.values()):
+            replies: list[tuple[Batch, ToSender]] = [
+                (batch, NotRun(batch.number, _STOPPING, 0.0, True))
+                for batch, _ in channel.batches
+            ]
+            batch = channel.current
+            if batch is not None:
+                reply = NotRun(batch.number, _STOPPING, 0.0, True)
+                if channel.sending:
+                    reply = Lost(batch.number, _STOPPING, True)
+                replies.append((batch, reply))
+            for batch, reply in replies:
+                self._record(channel, batch, reply)
+                channel.sink.send(reply)
+            ended += len(replies)
+            channel.batches.clear()
+            channel.closed = True
+            if channel.task is not None:
+                channel.task.cancel()
+            self._discard(channel)
+        return ended
+
     def close_link(self, sink: ReplySink, link: int) -> None:
         """Drop what waits for a link and roll back its transaction."""
         channel = self._channels.get((sink, link))
@@ -286,12 +336,14 @@
         try:
             while channel.batches and not channel.closed:
                 batch, urgency = channel.batches.popleft()
+                channel.current = batch
                 try:
                     reply = await self._serve_batch(channel, batch, urgency)
                 except Exception as exc:
                     # One batch that cannot be handled must not hold its link.
                     self._discard(channel)
                     reply = Lost(batch.number, repr(exc), True)
+                channel.current = None
                 self._record(channel, batch, reply)
                 channel.sink.send(reply)
         finally:
--- a/src/rosemaryridge/core/owners/service.py
+++ b/src/rosemaryridge/core/owners/service.py
@@ -11,6 +11,7 @@
 from rosemaryridge.core._metrics import MetricsRegistry
 from rosemaryridge.core._peers import Peer
 from rosemaryridge.core._shares import Shares
+from rosemaryridge.core._shutdown import Shutdown
 from rosemaryridge.core._target_info import TargetInfo
 from rosemaryridge.core._timeout import running_timeout
 from rosemaryridge.core.commands import Connect
@@ -111,12 +112,17 @@
             self._on_sender_lost,
         )
 
-    def stop(self) -> None:
-        """Take no new links; those with open transactions go on."""
+    def stop(self, shutdown: Shutdown) -> None:
+        """Take no new links; those with open transactions go on by the plan."""
         self.stopping = True
+        self._owned.shutdown = shutdown
         for stream in self._incoming:
             stream.send(Stopping())
 
+    def end_batches(self) -> int:
+        """Answer the batches that are outstanding; return how many there were."""
+        return self._owned.end_batches()
+
     def close(self) -> None:
         """Close every stream and connection."""
         for task in self._opening.values():
--- a/tests/integration/test_site_owners.py
+++ b/tests/integration/test_site_owners.py
@@ -1,6 +1,8 @@
 """Test the entry program where targets are reached through owners."""
 
 import asyncio
+import collections
+import itertools
 import os
 import unittest
 from unittest import mock
@@ -64,6 +66,59 @@
     proxies = 3
 
 
+class StoppedOwnerTest(_OwnersCase):
+    """Guard against unknown outcomes for callers of proxies that do not stop."""
+
+    options = test_site.SiteOptions(grace_s=3, tx_idle_ms=5000)
+
+    async def load(self, client, codes):
+        """Run writes and transactions, and record the codes of their answers."""
+        statements = ("WRITE k a", "BEGIN", "WRITE k b", "READ k", "COMMIT")
+        for text in itertools.cycle(statements):
+            code = (await client.execute(text)).code
+            codes[code] += 1
+            if code == "ABORTED" and text != "COMMIT":
+                await client.execute("ROLLBACK")
+
+    async def commit_after(self, client, wait_s):
+        await asyncio.sleep(wait_s)
+        return (await client.execute("COMMIT")).code
+
+    async def test_callers_of_other_proxies_know_what_ran(self):
+        owner = self.owner_of(0)
+        others = [(owner + 1) % self.proxies, (owner + 2) % self.proxies]
+        codes = collections.Counter()
+        loads = [
+            asyncio.create_task(
+                self.load(await self.client("books-orders", proxy), codes)
+            )
+            for proxy in 2 * others
+        ]
+        opened = [await self.client("books-orders", others[n % 2]) for n in range(8)]
+        for client in opened:
+            await client.execute("BEGIN")
+            self.assertEqual((await client.execute("WRITE j inside")).code, "")
+        for target in self.group.targets.values():
+            target.work_s = 0.15
+        self.entries[owner].stop()
+        # Some of the commits are at the target as the owner ends, 2.3 s from now.
+        commits = await asyncio.gather(
+            *(
+                self.commit_after(client, 1.7 + 0.08 * number)
+                for number, client in enumerate(opened)
+            )
+        )
+        await asyncio.wait([self.tasks[owner]], timeout=3.0)
+        before = codes[""]
+        await asyncio.sleep(1.0)
+        for task in loads:
+            task.cancel()
+        self.assertEqual(set(commits) - {"", "ABORTED"}, set())
+        self.assertEqual(set(codes) - {"", "ABORTED", "BUSY"}, set())
+        self.assertGreater(codes[""], before)
+        self.assertIn('"reason": "the owner stops before', self.events())
+
+
 class OwnerLossTest(_OwnersCase):
     async def test_a_killed_owner_is_replaced_by_the_reserve(self):
         owner = self.owner_of(0)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -25,6 +25,14 @@
         # Also those whose statements may take longer than that.
         self.assertTrue(shutdown.takes_statement(103.0, 20.0))
 
+    def test_an_owner_takes_no_batch_that_outlasts_it(self):
+        shutdown = Shutdown(100.0, 6.0)
+        self.assertTrue(shutdown.takes_batch(104.0, 105.0, False))
+        self.assertFalse(shutdown.takes_batch(100.1, 106.1, False))
+        # An open transaction cannot go on elsewhere.
+        self.assertTrue(shutdown.takes_batch(100.1, 106.1, True))
+        self.assertFalse(shutdown.takes_batch(103.1, 106.1, True))
+
     def test_nothing_is_taken_after_the_end(self):
         # Half of a short grace period lies behind the end.
         shutdown = Shutdown(100.0, 1.0)
