--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -104,6 +104,7 @@
             lambda name: [other for other in self.targets if other != name],
             self._probe_by_id,
             self._log,
+            self._step_down_unproven,
         )
 
     async def confirm_primary(self, target: Target, led_at: float) -> bool:
@@ -172,6 +173,12 @@
         successor = self._leadership.superseded_by(target.id)
         return successor == self._confirmed_primary_id
 
+    def _step_down_unproven(self, name: str) -> None:
+        """Step a primary down whose successor by the last claim is not listed."""
+        target = self.targets.get(name)
+        if target is not None:
+            self._start_step_down(target)
+
     def _start_step_down(self, target: Target) -> None:
         if target.id not in self._stepping_down:
             self._stepping_down.add(target.id)
@@ -192,7 +199,10 @@
             term=term,
             done=not condition.primary,
         )
-        if condition.primary and self.targets.get(target.id) is target:
+        if not condition.primary:
+            # A search for the primary starts if this was the one.
+            self.record_not_primary(target)
+        elif self.targets.get(target.id) is target:
             # It leads a later term: the known claims are outdated.
             self._confirmation_requested_at = boottime()
             self._adopt_primary(target, condition.term)
--- a/src/rosemaryridge/core/_leadership.py
+++ b/src/rosemaryridge/core/_leadership.py
@@ -35,7 +35,7 @@
     """Prove that a target has led a group; times are on the clock of `boottime`.
 
     `probe` asks a target whether it leads; `others` returns the ids of a group's
-    targets other than the given one.
+    targets other than the given one. `step_down` deposes a target.
     """
 
     def __init__(
@@ -45,11 +45,13 @@
         others: t.Callable[[str], t.Sequence[str]],
         probe: t.Callable[[str], t.Awaitable[ProbeResult]],
         log: EventLog,
+        step_down: t.Callable[[str], None] = lambda target: None,
     ):
         self._service = service
         self._claims = claims
         self._others = others
         self._probe = probe
+        self._step_down = step_down
         self._log = log
         # The target that the last successful vote confirmed, and when it began.
         self._voted_for = ""
@@ -117,7 +119,14 @@
     async def _hold_vote(self, target: str, started_at: float) -> bool:
         others = self._others(target)
         answers = await asyncio.gather(*map(self._probe, others))
-        confirmed = bool(others) and all(answer is False for answer in answers)
+        all_deny = bool(others) and all(answer is False for answer in answers)
+        # A target that is not listed has not voted, and may have been promoted.
+        claimed = self.superseded_by(target)
+        is_claimed_missing = bool(claimed) and claimed not in others
+        confirmed = all_deny and not is_claimed_missing
+        if all_deny and is_claimed_missing and not self._claims.failing:
+            # Nothing else proves who leads: the group needs another promotion.
+            self._step_down(target)
         if confirmed:
             self._voted_for, self._voted_at = target, started_at
             self._claims.settle(self._service, target, started_at)
@@ -130,5 +139,6 @@
                 answers=dict(zip(others, answers, strict=True)),
                 claims_age_s=round(boottime() - self._claims.requested_at, 3),
                 claimed=self._claims.claim(self._service).target,
+                claimed_is_listed=not is_claimed_missing,
             )
         return confirmed
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -524,6 +524,25 @@
         # The proxy logs it after the target's answer.
         await self.until(lambda: "deposed_primary_stepped_down" in self.events())
 
+    async def test_a_deposed_primary_is_not_confirmed_by_those_that_are_left(self):
+        # The successor of the last claim is not listed any more, and has not voted.
+        client = await self.client("books-orders")
+        self.assertEqual((await client.execute("WRITE k first")).code, "")
+        await asyncio.sleep(0.1)
+        claim = {"fence": 1, "holder": "vm", "term": 1, "target": "books-1"}
+        self.site.store.write("failovers", "books", claim | {"deposed": "books-0"})
+        # An order waits for the leases.
+        await asyncio.sleep(0.7)
+        self.target(0).cut_off = True
+        await self.group.promote("books-1")
+        await self.target(1).crash()
+        self.site.store.erase("servers", "books-1")
+        acknowledged = await self.write_for(client, "d", 13.0)
+        self.assertEqual(set(acknowledged) & set(self.group.split_commits), set())
+        self.assertEqual(self.group.primary, "books-2")
+        self.assertIn(acknowledged[-1], [one.data for one in self.target(2).log])
+        self.assertIn('"claimed_is_listed": false', self.events())
+
     async def test_statements_are_served_without_the_store(self):
         client = await self.client("books-orders", 0)
         await client.execute("WRITE k first")
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -123,6 +123,7 @@
         self.claims = ClaimCache(self.store, StubLog())
         self.answers = {"a": True, "b": False, "c": False}
         self.probes = []
+        self.stepped_down = []
         self.log = StubLog()
         self.leadership = Leadership(
             "books",
@@ -130,6 +131,7 @@
             lambda name: [other for other in self.answers if other != name],
             self.probe,
             self.log,
+            self.stepped_down.append,
         )
 
     async def probe(self, name):
@@ -185,6 +187,19 @@
         self.assertTrue(await self.leadership.confirm("a", boottime()))
         self.assertEqual(self.probes, ["b", "c"])
 
+    async def test_a_claimed_target_that_is_not_listed_has_not_voted(self):
+        # The deposed primary was confirmed by the targets that were left.
+        self.store.claim("books", 1, "d")
+        await self.claims.refresh(boottime() - 1.0)
+        self.claims._seen_at["books"] -= 10.0
+        self.assertFalse(await self.leadership.confirm("a", boottime()))
+        self.assertEqual((self.probes, self.stepped_down), (["b", "c"], ["a"]))
+        # Without the store no other primary could follow.
+        self.store.error = StoreUnavailable("away")
+        self.claims.failing = True
+        self.assertFalse(await self.leadership.confirm("a", boottime()))
+        self.assertEqual(self.stepped_down, ["a"])
+
     async def test_a_group_of_one_target_has_no_vote(self):
         self.store.error = StoreUnavailable("away")
         self.answers = {"a": True}
