Classify SET behind another statement of one text

What callers saw: 'UPDATE ...; SET search_path = ...' was refused as an unsupported SET. Cause: the statement's part of the text was cut with the tokens' offsets in the whole text. Change: each part has tokens of its own. Result: the new test failed before, passes; tests.test_sql passes.

--- a/src/rosemaryridge/sql/_cache.py
+++ b/src/rosemaryridge/sql/_cache.py
@@ -59,7 +59,8 @@
     parts = _split_at_semicolons(text, tokens)
     if len(parts) == 1:
         return (classify(text, parts[0].tokens),)
-    return tuple(classify(part.text, part.tokens) for part in parts)
+    # Classifiers expect tokens whose offsets are those of the statement's own text.
+    return tuple(classify(part.text, tokenize(part.text)) for part in parts)
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_sql.py
+++ b/tests/test_sql.py
@@ -125,6 +125,12 @@
         expected = ["select  ';'", "explain select 1", "INSERT INTO t VALUES (';')"]
         self.assertEqual(self.texts(text), expected)
 
+    def test_set_behind_another_statement_is_classified(self):
+        # It was refused as unsupported.
+        _, statement = parse_statements("SELECT 1; SET search_path = 'mine'")
+        self.assertEqual(statement.kind, StatementClass.SET)
+        self.assertEqual((statement.name, statement.value), ("search_path", "'mine'"))
+
     def test_command_ends_at_semicolon(self):
         kinds = [part.kind for part in parse_statements("show x; delete from t")]
         self.assertEqual(kinds, [StatementClass.SHOW, StatementClass.WRITE])
