Keep values that are set in a transaction with their caller (PINNED)

What callers saw, on the PostgreSQL path: after one caller had committed a SET in a transaction, statements of others on that connection ran with its value; a SET in a batch, or one rolled back to a savepoint, left the session with other values than were acknowledged; and a statement whose values the target refused left the outcome of the write before it. Cause: a connection's known values were not updated by COMMIT, the session's only by an explicit one, neither by savepoints; an error of the values' own SET passed the request by. Change: COMMIT's answer records the values on the connection and in the session, savepoints are followed, and a refused value ends the request as not run. The stand-in refuses values, resets one by name, and undoes SET in a rollback.

--- a/src/rosemaryridge/proxy/_autocommit.py
+++ b/src/rosemaryridge/proxy/_autocommit.py
@@ -27,6 +27,7 @@
 from rosemaryridge.request import Continue
 from rosemaryridge.request import DeadlinePassed
 from rosemaryridge.request import Effect
+from rosemaryridge.request import Failed
 from rosemaryridge.request import Finish
 from rosemaryridge.request import Refused
 from rosemaryridge.request import Request
@@ -161,6 +162,10 @@
             return self._on_unreachable(exc)
         except CONNECTION_ERRORS:
             return self.request.on_event(ConnectionLost())
+        except asyncpg.PostgresError as exc:
+            # The target refused a value of the session; the statement was not sent.
+            self._error = exc
+            return self.request.on_event(Failed(exc.sqlstate or ""))
         effect = await self._run_and_release(placement, max_rows)
         if isinstance(effect, Confirm):
             effect = await self._confirm(placement)
--- a/src/rosemaryridge/proxy/_caller_state.py
+++ b/src/rosemaryridge/proxy/_caller_state.py
@@ -1,12 +1,14 @@
 """Hold the settings and the session state of one caller's connection."""
 
 import dataclasses
+import typing as t
 
 from rosemaryridge.config import Priority
 from rosemaryridge.config import RequestRule
 from rosemaryridge.model import Outcome
 from rosemaryridge.request import RequestOptions
 from rosemaryridge.session import SessionState
+from rosemaryridge.wire import update_variables
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +51,10 @@
         self.reported_token = token
         return token
 
+    def record_variables(self, changes: t.Mapping[str, str | None]) -> None:
+        """Record the variables that a committed transaction has set; None for RESET."""
+        update_variables(self.variables, changes)
+
     def record_outcome(self, outcome: Outcome, key: str = "") -> None:
         """Record the outcome of a request; clear its key unless the outcome is unknown.
 
--- a/src/rosemaryridge/proxy/_commit.py
+++ b/src/rosemaryridge/proxy/_commit.py
@@ -32,7 +32,11 @@
     """
 
     def __init__(
-        self, selector: TargetSelector, placement: Placement, options: EffectiveOptions
+        self,
+        selector: TargetSelector,
+        placement: Placement,
+        options: EffectiveOptions,
+        variables: t.Mapping[str, str | None],
     ):
         self.outcome = Outcome.UNKNOWN
         self._request = Request(RequestKind.COMMIT)
@@ -40,6 +44,8 @@
         self._selector = selector
         self._placement = placement
         self._options = options
+        # What the transaction has set on its connection; None for RESET.
+        self._variables = variables
         self._tag = ""
         self._error: asyncpg.PostgresError | None = None
 
@@ -75,6 +81,8 @@
             self._request.on_event(Sent(placement.target, placement.primary))
             self.running.connection = connection
             self._tag = await connection.command(text)
+            if self._tag == "COMMIT":
+                connection.record_variables(self._variables)
             answered = True
             return self._request.on_event(Answered())
         except asyncpg.PostgresError as exc:
--- a/src/rosemaryridge/proxy/_transaction.py
+++ b/src/rosemaryridge/proxy/_transaction.py
@@ -67,6 +67,8 @@
         self.key = ""
         self.local_options: RequestOptions | None = None
         self.pending_variables: dict[str, str | None] = {}
+        # The pending variables at each savepoint.
+        self._savepoints: list[tuple[str, dict[str, str | None]]] = []
         self.running: RunningRequest | None = None
         self._ctx = ctx
         self._selector = selector
@@ -85,6 +87,17 @@
         self._preamble.append(text)
         self.read_only = self.read_only or read_only
 
+    def record_savepoint(self, name: str) -> None:
+        """Record a savepoint that the target has set."""
+        self._savepoints.append((name, dict(self.pending_variables)))
+
+    def record_rollback_to(self, name: str) -> None:
+        """Undo what was set since a savepoint, as the target has done."""
+        for savepoint, variables in reversed(self._savepoints):
+            if savepoint == name:
+                self.pending_variables = dict(variables)
+                return
+
     async def describe(self, text: str, options: EffectiveOptions) -> Description:
         """Return a statement's types from the transaction's connection."""
         formats = formats_of((), ())
@@ -246,11 +259,13 @@
         if self._placement is None:
             return "COMMIT"
         placement, self._placement = self._placement, None
-        commit = Commit(self._selector, placement, options)
+        commit = Commit(self._selector, placement, options, self.pending_variables)
         self.running = commit.running
         try:
             tag = await commit.run(text)
         finally:
             self.running = None
             self._state.record_outcome(commit.outcome, self.key)
+        if tag == "COMMIT":
+            self._state.record_variables(self.pending_variables)
         return tag
--- a/src/rosemaryridge/proxy/_transaction_statements.py
+++ b/src/rosemaryridge/proxy/_transaction_statements.py
@@ -57,18 +57,7 @@
         if transaction.failed:
             await transaction.rollback()
             return "ROLLBACK"
-        tag = await transaction.commit("COMMIT", session.effective_options(query))
-        if tag == "COMMIT":
-            _apply_pending_variables(session, transaction)
-        return tag
-
-
-def _apply_pending_variables(session: "ProxySession", transaction: Transaction) -> None:
-    for name, value in transaction.pending_variables.items():
-        if value is None:
-            session.state.variables.pop(name, None)
-        else:
-            session.state.variables[name] = value
+        return await transaction.commit("COMMIT", session.effective_options(query))
 
 
 @handles(StatementClass.ROLLBACK)
@@ -93,8 +82,12 @@
             message = "savepoints can only be used in transaction blocks"
             raise PgError(_NO_TRANSACTION, message)
         tag = await transaction.command(query.text, session.effective_options(query))
+        name = query.text.rstrip("; \n").split()[-1].lower()
         if query.statement.name == "rollback":
             transaction.failed = False
+            transaction.record_rollback_to(name)
+        elif query.statement.name == "savepoint":
+            transaction.record_savepoint(name)
         return Completion(tag)
 
 
--- a/src/rosemaryridge/wire/__init__.py
+++ b/src/rosemaryridge/wire/__init__.py
@@ -21,6 +21,7 @@
 from rosemaryridge.wire._target_connection import Login
 from rosemaryridge.wire._target_connection import PreparedStatement
 from rosemaryridge.wire._target_connection import TargetConnection
+from rosemaryridge.wire._target_connection import update_variables
 from rosemaryridge.wire._target_port import PgTargetPort
 
 __all__ = [
@@ -46,4 +47,5 @@
     "formats_of",
     "plain_fields",
     "target_fields",
+    "update_variables",
 ]
--- a/src/rosemaryridge/wire/_target_connection.py
+++ b/src/rosemaryridge/wire/_target_connection.py
@@ -110,6 +110,10 @@
         """Raise InterfaceError if closed; asyncpg would raise an unrelated error."""
         _ = self._protocol
 
+    def record_variables(self, changes: t.Mapping[str, str | None]) -> None:
+        """Record the variables that a committed transaction has set; None for RESET."""
+        update_variables(self.variables, changes)
+
     def is_closed(self) -> bool:
         """Return whether the connection is closed."""
         return self._conn.is_closed()
@@ -214,6 +218,17 @@
         return f"rr{self._portals}"
 
 
+def update_variables(
+    variables: dict[str, str], changes: t.Mapping[str, str | None]
+) -> None:
+    """Set the changed variables, and remove those that were reset."""
+    for name, value in changes.items():
+        if value is None:
+            variables.pop(name, None)
+        else:
+            variables[name] = value
+
+
 def _describe_prepared(state: t.Any, formats: Formats) -> PreparedStatement:
     format_by_oid = dict(formats[1])
     oids = tuple(param_type.oid for param_type in state._get_parameters())
--- a/src/rosemaryridge_testbed/target/_commands.py
+++ b/src/rosemaryridge_testbed/target/_commands.py
@@ -109,7 +109,7 @@
     ) -> Result:
         if parsed.args:
             name, value = parsed.args
-            tx.settings[name.lower()] = value.strip().strip("'")
+            tx.set_value(name.lower(), value.strip().strip("'"))
         return Result(parsed.tag)
 
     @_runner_for(Kind.SHOW)
@@ -125,7 +125,10 @@
     ) -> Result:
         if parsed.tag == "DISCARD ALL" and tx.in_transaction:
             raise PgError("25001", "DISCARD ALL cannot run inside a transaction block")
-        if parsed.tag in ("DISCARD ALL", "RESET"):
+        name = parsed.args[0].lower() if parsed.args else "all"
+        if name != "all":
+            tx.settings.pop(name, None)
+        elif parsed.tag in ("DISCARD ALL", "RESET"):
             tx.settings.clear()
         return Result(parsed.tag)
 
--- a/src/rosemaryridge_testbed/target/_sql.py
+++ b/src/rosemaryridge_testbed/target/_sql.py
@@ -75,7 +75,7 @@
     (Kind.SET, "SET", r"SET\s+(?:SESSION\s+CHARACTERISTICS|TRANSACTION)\b"),
     (Kind.SHOW, "SHOW", rf"SHOW\s+{_NAME}"),
     (Kind.RESET, "DISCARD ALL", r"DISCARD\s+ALL"),
-    (Kind.RESET, "RESET", r"RESET\s+(?:ALL|\w)"),
+    (Kind.RESET, "RESET", r"RESET\s+(\w+)"),
     (Kind.RESET, "CLOSE CURSOR ALL", r"CLOSE\s+ALL"),
     (Kind.RESET, "UNLISTEN", r"UNLISTEN\b"),
     (Kind.RESET, "DEALLOCATE", r"DEALLOCATE\b"),
--- a/src/rosemaryridge_testbed/target/_transaction.py
+++ b/src/rosemaryridge_testbed/target/_transaction.py
@@ -15,6 +15,9 @@
 from rosemaryridge_testbed.target._member import Member
 from rosemaryridge_testbed.target._member import current_timestamp
 
+# Settings that take a number or a time.
+_NUMERIC_SETTINGS = ("lock_timeout", "statement_timeout")
+
 
 @dataclasses.dataclass(eq=False)
 class TargetContext:
@@ -41,8 +44,10 @@
         self.context = context
         self.connection = connection
         self.settings: dict[str, str] = {}
+        # The settings to which a rollback returns.
+        self._settings_before: dict[str, str] = {}
         self.statements: list[LoggedStatement] = []
-        self.savepoints: list[tuple[str, int]] = []
+        self.savepoints: list[tuple[str, int, dict[str, str]]] = []
         self._locked = False
         self._executor: Executor | None = None
         self._generation = -1
@@ -66,6 +71,7 @@
     def begin(self) -> None:
         """Open a transaction block."""
         if not self.in_transaction:
+            self._settings_before = dict(self.settings)
             self.connection.tx_status = b"T"
             self._start_idle_timer()
 
@@ -74,6 +80,14 @@
         delay_s = self.context.knobs.idle_in_transaction_ms / 1000.0
         self._idle_timer = loop.call_later(delay_s, self.terminate)
 
+    def set_value(self, name: str, value: str) -> None:
+        """Set a value; raise PgError if the setting does not take it."""
+        if name in _NUMERIC_SETTINGS and not value.rstrip("ms").isdigit():
+            raise PgError(
+                "22023", f'invalid value for parameter "{name}": "{value}"'
+            )
+        self.settings[name] = value
+
     def require_writable(self) -> None:
         """Raise PgError if the target accepts no writes."""
         if not self.context.member.writable:
@@ -106,6 +120,8 @@
         """Roll back the transaction."""
         if self._locked:
             self.executor().rollback()
+        if self.in_transaction:
+            self.settings = dict(self._settings_before)
         self._end()
 
     def abort_implicit(self) -> None:
@@ -117,13 +133,15 @@
         """Set a savepoint."""
         if self._locked:
             self.executor().run(f'SAVEPOINT "{name}"', {})
-        self.savepoints.append((name, len(self.statements)))
+        self.savepoints.append((name, len(self.statements), dict(self.settings)))
 
     def rollback_to(self, name: str) -> None:
         """Roll back to a savepoint; raise PgError if it does not exist."""
-        count = next((n for mark, n in reversed(self.savepoints) if mark == name), None)
-        if count is None:
+        found = next((at for at in reversed(self.savepoints) if at[0] == name), None)
+        if found is None:
             raise PgError("3B001", f"savepoint {name} does not exist")
+        _, count, settings = found
+        self.settings = dict(settings)
         if self._locked:
             self.executor().run(f'ROLLBACK TO "{name}"', {})
         del self.statements[count:]
--- a/tests/integration/test_wire.py
+++ b/tests/integration/test_wire.py
@@ -357,6 +357,60 @@
                 await first.fetchval("SELECT 1")
                 self.assertEqual(await second.fetchval(show), "")
 
+    async def value_on_primary(self, conn, name="search_path"):
+        """Return a setting as a write transaction of a caller sees it."""
+        async with conn.transaction():
+            await conn.execute("UPDATE note SET body = 'b' WHERE id = 0")
+            return await conn.fetchval(f"SHOW {name}")
+
+    async def test_a_value_set_in_a_transaction_stays_with_its_caller(self):
+        # The connection kept it, and statements of other callers ran with it.
+        async with self.caller() as first, self.caller() as second:
+            async with first.transaction():
+                await first.execute("SET search_path = 'mine'")
+            self.assertEqual(await self.value_on_primary(second), "")
+            self.assertEqual(await self.value_on_primary(first), "mine")
+
+    async def test_a_value_set_in_a_batch_stays_with_its_caller(self):
+        # It was acknowledged, and the caller's next statements ran without it.
+        async with self.caller() as first, self.caller() as second:
+            update = "UPDATE note SET body = 'b' WHERE id = 0"
+            await first.execute(f"{update}; SET search_path = 'mine'")
+            self.assertEqual(await self.value_on_primary(second), "")
+            self.assertEqual(await self.value_on_primary(first), "mine")
+
+    async def test_a_value_that_was_rolled_back_stays_nowhere(self):
+        async with self.caller() as first, self.caller() as second:
+            await first.execute("BEGIN")
+            await first.execute("SET search_path = 'mine'")
+            await first.execute("ROLLBACK")
+            for conn in (first, second):
+                self.assertEqual(await self.value_on_primary(conn), "")
+            async with first.transaction():
+                await first.execute("SAVEPOINT a")
+                await first.execute("SET search_path = 'mine'")
+                await first.execute("ROLLBACK TO SAVEPOINT a")
+            for conn in (first, second):
+                self.assertEqual(await self.value_on_primary(conn), "")
+
+    async def test_a_statement_whose_values_are_refused_does_not_run(self):
+        async with self.caller() as first, self.caller() as second:
+            await first.execute("INSERT INTO note VALUES (711, 'before')")
+            await first.execute("SET statement_timeout = 'soon'")
+            with self.assertRaises(asyncpg.InvalidParameterValueError):
+                await first.execute("UPDATE note SET body = 'after' WHERE id = 711")
+            outcome = await first.fetchval("SHOW rosemaryridge.outcome")
+            self.assertEqual(outcome, "not run")
+            with self.assertRaises(asyncpg.InvalidParameterValueError):
+                async with first.transaction():
+                    await first.execute("UPDATE note SET body = 'x' WHERE id = 711")
+            await first.execute("RESET statement_timeout")
+            for conn in (first, second):
+                read = "SELECT body FROM note WHERE id = 711"
+                self.assertEqual(await conn.fetchval(read), "before")
+                value = await self.value_on_primary(conn, "statement_timeout")
+                self.assertEqual(value, "")
+
     async def test_token_and_comment(self):
         async with self.caller() as first, self.caller() as second:
             await first.execute("INSERT INTO note VALUES (501, 'mine')")
