--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -132,7 +132,10 @@
         return self._leadership.proven_until(name)
 
     async def _probe_by_id(self, name: str) -> bool | None:
-        target = self.targets.get(name)
+        target, primary = self.targets.get(name), self.primary_target
+        if self.term == 0 and primary is not None and primary is not target:
+            # A denial counts only beside the primary's term, not known yet.
+            await self.probe_primary(primary)
         return None if target is None else await self.probe_primary(target)
 
     def record_primary(
--- a/src/rosemaryridge/core/store/_claims.py
+++ b/src/rosemaryridge/core/store/_claims.py
@@ -110,13 +110,24 @@
 
 
 class ClaimCache:
-    """Cache the newest claims; times are on the clock of `boottime`."""
+    """Cache the newest claims; times are on the clock of `boottime`.
 
-    def __init__(self, store: ListedStore, log: EventLog, era: StoreEra | None = None):
+    `first_start` tells that no process of the fleet ran before, so that the first era
+    lacks no claim.
+    """
+
+    def __init__(
+        self,
+        store: ListedStore,
+        log: EventLog,
+        era: StoreEra | None = None,
+        first_start: bool = True,
+    ):
         # When this proxy learned that the store had come back from a copy, None if it
         # never did; and the primary of each service that was settled since.
         self._era_began_at: float | None = None
         self._settled: dict[str, str] = {}
+        self._trusts_first_era = first_start
         self._era = era
         if era is not None:
             era.subscribe(self._on_new_era)
@@ -185,6 +196,8 @@
         """Record claims; those of an earlier era or a lower fence are outdated."""
         if self._era is not None and not self._era.observe(listing.era):
             return
+        if not self._trusts_first_era:
+            self._doubt_first_era()
         for service, claim in listing.claims.items():
             if claim.fence > self.claim(service).fence:
                 if self._era is not None and self._era.issued(claim.fence):
@@ -202,6 +215,18 @@
         self.requested_at = max(self.requested_at, listing.requested_at)
         self.failing = False
 
+    def _doubt_first_era(self) -> None:
+        """Treat the first era that the store names as one that has just begun.
+
+        The store may have come back from a copy shortly before this process started.
+        """
+        if self._era is None or self._era.current is None:
+            return
+        self._trusts_first_era = True
+        if self._era_began_at is None:
+            self._era_began_at = boottime()
+            self._log.write("first_era_doubted", era=self._era.current)
+
     async def refresh(self, requested_after: float) -> bool:
         """Return whether the claims were requested at or after a time; fetch if not."""
         if self.requested_at < requested_after:
--- a/src/rosemaryridge_testbed/site/_site.py
+++ b/src/rosemaryridge_testbed/site/_site.py
@@ -145,11 +145,17 @@
                 self.register(target)
 
     def write_settings(
-        self, path: pathlib.Path, vm: str, front: int, ready: int
+        self,
+        path: pathlib.Path,
+        vm: str,
+        front: int,
+        ready: int,
+        first_start: bool = True,
     ) -> None:
         """Write the settings file of one proxy."""
         data = {
             "node_name": vm,
+            "bootstrap": first_start,
             "zone": "a",
             "region": "r",
             "zones": {"a": "r"},
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -50,11 +50,11 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
-    async def _start_proxy(self, directory, vm):
+    async def _start_proxy(self, directory, vm, first_start=True):
         ports = free_ports((f"{vm}-front", f"{vm}-ready"))
         front, ready = ports.values()
         path = directory / f"{vm}.json"
-        self.site.write_settings(path, vm, front, ready)
+        self.site.write_settings(path, vm, front, ready, first_start)
         cfg = load_settings(str(path))
         entry = Entry(cfg, str(path), EventLog(vm, self.log))
         self.entries.append(entry)
@@ -487,6 +487,39 @@
         self.assertTrue(successors)
         self.assertEqual(set(acknowledged) & set(self.group.split_commits), set())
 
+    async def test_a_proxy_that_starts_after_a_restored_copy_leases_nothing(self):
+        # The copy lacks the claim of a promotion whose order is carried out later.
+        self.site.store.era = 1
+        old = await self.client("books-orders")
+        self.assertEqual((await old.execute("WRITE k d")).code, "")
+        copy = self.site.store.copy()
+        claim = {"fence": 1, "holder": "vm", "term": 1, "target": "books-1"}
+        self.site.store.write("failovers", "books", claim | {"deposed": "books-0"})
+        await asyncio.sleep(0.7)
+        self.site.store.restore(copy)
+        self.site.write_again()
+        await self._start_proxy(self.log_path.parent, "vm-2", first_start=False)
+        # The successor does not reach the store.
+        self.target(1)._report = lambda target: None
+        self.target(0).cut_off = True
+        await self.group.promote("books-1")
+        await self._wait_until_serving(self.addresses[2])
+        new = await self.client("books-orders", 2)
+        acknowledged = await self.write_for(new, "new", 4.0)
+        self.assertEqual(set(acknowledged) & set(self.group.split_commits), set())
+        # Two targets lead until the deposed one reaches the others again.
+        self.target(0).rejoin()
+        self.assertTrue(await self.write_for(new, "later", 4.0))
+
+    async def test_a_proxy_that_starts_without_leases_serves_by_votes(self):
+        # Denials are judged by the primary's term, which it did not ask for.
+        self.site.store.era = 1
+        await self._start_proxy(self.log_path.parent, "vm-2", first_start=False)
+        await self._wait_until_serving(self.addresses[2])
+        client = await self.client("books-orders", 2)
+        self.assertEqual((await client.execute("WRITE k d")).code, "")
+        self.assertIn("first_era_doubted", self.events())
+
     async def test_no_read_misses_a_commit_of_the_successor(self):
         reader = await self.client("books-orders", 0)
         writer = await self.client("books-orders", 1)
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -256,6 +256,24 @@
         self.assertTrue(self.claims.leases("books", "b"))
         self.assertFalse(self.claims.leases("books", "a"))
 
+    async def test_a_process_that_starts_later_leases_by_no_missing_claim(self):
+        # The copy from which the store had just come back lacked the claim.
+        self.claims = ClaimCache(None, StubLog(), self.era, first_start=False)
+        self.record(notes=ClaimedTarget(next_fence(0, 1), 1, "n"))
+        self.assertFalse(self.claims.leases("books", "a"))
+        self.claims.settle("books", "a", boottime() + 1.0)
+        self.assertFalse(self.claims.leases("books", "a"))
+        # A claim of this era is no older than it.
+        self.assertTrue(self.claims.leases("notes", "n"))
+        self.claims.settle("books", "a", boottime() + 3.0)
+        self.assertTrue(self.claims.leases("books", "a"))
+
+    async def test_a_process_that_starts_later_leases_where_no_era_is_named(self):
+        era = StoreEra(StubLog())
+        self.claims = ClaimCache(None, StubLog(), era, first_start=False)
+        self.record()
+        self.assertTrue(self.claims.leases("books", "a"))
+
     async def test_a_relay_passes_on_the_era(self):
         # Seed 519 of the schedules: a proxy that reads the claims through a relay kept
         # its lease, as it had no answer of the restored store itself.
