Promote the replica that has received most after a step-down

What callers saw: where the chosen successor of a leaving primary did not catch up within 0.4 s it was promoted all the same, and commits that another replica had were rolled back; with sync_replicas 1 these were safe by the service's own promise. Cause: only the chosen successor was asked. Change: all are asked then, and the one that has received most is promoted; a primary that may stay leads on unless one has all.

--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -16,6 +16,7 @@
 from rosemaryridge.core._successor import PLANNED_REASONS
 from rosemaryridge.core._successor import Reason
 from rosemaryridge.core._successor import all_lag
+from rosemaryridge.core._successor import choose_most_advanced
 from rosemaryridge.core._successor import choose_successor
 from rosemaryridge.core._successor import leader_has_denied
 from rosemaryridge.core._successor import reason_to_replace
@@ -290,9 +291,10 @@
     ) -> "_StepDown":
         """Step down a working primary and choose the target to lead afterwards.
 
-        That is the successor once it has received the whole log, and the old primary
-        if the successor does not catch up in time or if the primary did not step down.
-        A draining primary is replaced in any case.
+        That is the successor, or another replica, once it has received the whole log,
+        and the old primary if none catches up in time or if the primary did not step
+        down. A draining primary is replaced in any case, by the one that has received
+        most.
         """
         last = await request_condition(
             old, lambda link: link.step_down(term + 1), _STEP_DOWN_TIMEOUT_S
@@ -309,10 +311,17 @@
             if condition is not None and condition.received >= last.received:
                 return _StepDown(True, successor)
             await asyncio.sleep(_POLL_S)
+        conditions = await self._fetch_conditions(group)
+        conditions.pop(old.id, None)
+        successor = choose_most_advanced(group, successor, conditions)
+        condition = conditions.get(successor.id)
+        if condition is not None and condition.received >= last.received:
+            return _StepDown(True, successor)
         self._log_not_promoted(
             group,
             None,
-            f"{successor.id} did not receive position {last.received} in time",
+            f"no replica received position {last.received} in time; {successor.id} "
+            "received most",
         )
         return _StepDown(True, successor if old.draining else old)
 
--- a/src/rosemaryridge/core/_successor.py
+++ b/src/rosemaryridge/core/_successor.py
@@ -148,6 +148,26 @@
     return is_present and target.id != group.primary and not target.draining
 
 
+def choose_most_advanced(
+    group: Group, successor: Target, conditions: t.Mapping[str, TargetCondition]
+) -> Target:
+    """Return the target that has received most once a primary has stepped down.
+
+    The chosen successor goes before others that have received as much. What the primary
+    acknowledged last may be on one replica only.
+    """
+    candidates = [
+        tgt
+        for tgt in group.targets.values()
+        if _is_eligible(tgt, group, conditions) and not conditions[tgt.id].primary
+    ]
+    return max(
+        candidates,
+        key=lambda tgt: (conditions[tgt.id].received, tgt is successor),
+        default=successor,
+    )
+
+
 def nobody_leads(group: Group, conditions: t.Mapping[str, TargetCondition]) -> bool:
     """Return whether every target of a group answered that it does not lead."""
     return conditions.keys() >= group.targets.keys() and not any(
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -3,11 +3,14 @@
 import asyncio
 import types
 import unittest
+from unittest import mock
 
 from rosemaryridge.core import ClaimCache
 from rosemaryridge.core import Failure
+from rosemaryridge.core import Shares
 from rosemaryridge.core import StatementError
 from rosemaryridge.core._boottime import boottime
+from rosemaryridge.core._failover import Failover
 from rosemaryridge.core._leadership import Leadership
 from rosemaryridge.core._successor import choose_successor
 from rosemaryridge.core._successor import leader_has_denied
@@ -262,6 +265,43 @@
         self.assertTrue(await group.confirm_primary(group.targets["a"], boottime()))
 
 
+class PlannedReplacementTest(GroupCase):
+    """Guard against commits that a planned replacement rolls back."""
+
+    async def replace(self, received, draining=True):
+        """Return who leads once "a" has stepped down at 1/9; "b" was chosen."""
+        group = self.group("a", "b", "c")
+        group.primary = "a"
+        old = group.targets["a"]
+        old.draining = draining
+        failover = Failover("vm", None, None, Shares(), StubLog(), self.rng)
+
+        async def fetch(target):
+            return condition(received[target.id])
+
+        async def step_down(target, ask, timeout_s):
+            return condition((1, 9))
+
+        failover._fetch_condition = fetch
+        with mock.patch("rosemaryridge.core._failover.request_condition", step_down):
+            found = await failover._step_down(group, old, group.targets["b"], 1)
+        self.assertTrue(found.done)
+        return found.successor.id
+
+    async def test_another_replica_that_has_all_is_promoted(self):
+        self.assertEqual(await self.replace({"b": (1, 8), "c": (1, 9)}), "c")
+
+    async def test_the_chosen_one_is_promoted_if_it_has_all(self):
+        self.assertEqual(await self.replace({"b": (1, 9), "c": (1, 9)}), "b")
+
+    async def test_without_a_complete_one_the_most_advanced_is_promoted(self):
+        self.assertEqual(await self.replace({"b": (1, 6), "c": (1, 8)}), "c")
+
+    async def test_without_a_complete_one_a_primary_that_stays_leads_on(self):
+        received = {"b": (1, 6), "c": (1, 8)}
+        self.assertEqual(await self.replace(received, draining=False), "a")
+
+
 class SuccessorTest(GroupCase):
     async def test_a_deposed_primary_that_goes_on_is_not_the_primary(self):
         group = self.group("a", "b", "c")
