Serve a stopping owner's own callers by their own plan

What callers saw: from SIGTERM on, each statement of the owner's own callers whose route's timeout lies beyond its end was refused by itself, and tried again by the reserve. Cause: the plan for batches of other proxies was applied to its own. Change: own batches follow the plan of their callers, who are answered at the end. Result: the new test failed before (owner_refused), passes.

--- a/src/rosemaryridge/core/owners/_streams.py
+++ b/src/rosemaryridge/core/owners/_streams.py
@@ -157,7 +157,7 @@
     def _send(self, frame: ToOwner) -> None:
         if isinstance(frame, Batch):
             place = self._known_places[frame.place]
-            self._owned.serve(self, place, frame, 0.0)
+            self._owned.serve(self, place, frame, 0.0, is_own=True)
         elif isinstance(frame, Place):
             self._known_places[frame.number] = frame
         elif isinstance(frame, CloseLink):
--- a/src/rosemaryridge/core/owners/_targets.py
+++ b/src/rosemaryridge/core/owners/_targets.py
@@ -199,9 +199,18 @@
         return bool(self._channels)
 
     def serve(
-        self, sink: ReplySink, place: Place, batch: Batch, offset_s: float
+        self,
+        sink: ReplySink,
+        place: Place,
+        batch: Batch,
+        offset_s: float,
+        is_own: bool = False,
     ) -> None:
-        """Queue a batch; `offset_s` is from its times to the clock of `boottime`."""
+        """Queue a batch; `offset_s` is from its times to the clock of `boottime`.
+
+        `is_own` marks the batches of this process's callers, which plan its end
+        themselves.
+        """
         key = (sink, batch.link)
         channel = self._channels.get(key)
         if channel is None:
@@ -216,7 +225,7 @@
             sent_at + to_s(batch.deadline_ms),
             batch.accepts_late,
         )
-        if not self._may_end(channel, urgency):
+        if not is_own and not self._may_end(channel, urgency):
             reply = NotRun(batch.number, _STOPPING, 0.0, True)
             self._record(channel, batch, reply)
             sink.send(reply)
--- a/tests/integration/test_site_owners.py
+++ b/tests/integration/test_site_owners.py
@@ -84,6 +84,20 @@
         await asyncio.sleep(wait_s)
         return (await client.execute("COMMIT")).code
 
+    async def test_its_own_callers_are_served_on(self):
+        # The timeouts of their route lie beyond its end.
+        owner = self.owner_of(0)
+        self.site.publish(2, timeout_ms=20_000)
+        await self.until(
+            lambda: all(
+                entry._proxy.config.current.version == 2 for entry in self.entries
+            )
+        )
+        self.entries[owner].stop()
+        client = await self.client("books-orders", owner)
+        self.assertEqual((await client.execute("WRITE k d")).code, "")
+        self.assertNotIn("owner_refused", self.events())
+
     async def test_callers_of_other_proxies_know_what_ran(self):
         owner = self.owner_of(0)
         others = [(owner + 1) % self.proxies, (owner + 2) % self.proxies]
