Teach the soak planned work, lost entries and leaving primaries

Cause: the soak had no transaction that outlasts a stop, started no process as an entry goes, and checked neither connections that planned work ends nor work that a leaving target gets.

--- a/src/rosemaryridge_testbed/site/_client.py
+++ b/src/rosemaryridge_testbed/site/_client.py
@@ -6,7 +6,6 @@
 
 from rosemaryridge.model import Outcome
 
-_TIMEOUT_S = 5.0
 # Error codes that guarantee that the statement had no effect.
 _NOT_RUN = frozenset(
     {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
@@ -35,11 +34,18 @@
 
 
 class Client:
-    """Run statements in one session."""
+    """Run statements in one session.
+
+    `timeout_s` limits the wait for each line. `outstanding` is the id of the statement
+    that has no answer yet, empty if all have.
+    """
+
+    timeout_s = 5.0
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
         self.reader = reader
         self.writer = writer
+        self.outstanding = ""
         self._ids = itertools.count(1)
 
     @classmethod
@@ -57,7 +63,7 @@
 
     async def read_line(self) -> str:
         """Return the next line; raise TimeoutError."""
-        async with asyncio.timeout(_TIMEOUT_S):
+        async with asyncio.timeout(self.timeout_s):
             return (await self.reader.readuntil(b"\r\n"))[:-2].decode()
 
     async def execute(self, text: str) -> Reply:
@@ -68,6 +74,7 @@
     def send(self, text: str) -> None:
         """Send a statement without waiting for its answer."""
         id_ = f"{id(self):x}{next(self._ids):x}"
+        self.outstanding = id_
         self.writer.write(f"QUERY {id_} {text}\r\n".encode())
 
     async def read_reply(self) -> Reply:
@@ -76,6 +83,7 @@
         while True:
             word, _, rest = (await self.read_line()).partition(" ")
             if word == "READY":
+                self.outstanding = ""
                 return Reply(tuple(rows), signature, error, rest.partition(" ")[0])
             if word == "DATAROW":
                 rows.append(rest)
--- a/src/rosemaryridge_testbed/site/_target.py
+++ b/src/rosemaryridge_testbed/site/_target.py
@@ -60,6 +60,7 @@
     values: dict[str, str]
     business: str
     at: float
+    in_transaction: bool = False
 
 
 class SiteGroup:
@@ -328,7 +329,13 @@
         if self.plant == "foreign":
             business = f"not-{business}"
         executed = ExecutedStatement(
-            self.name, id_, text, dict(connection.values), business, time.monotonic()
+            self.name,
+            id_,
+            text,
+            dict(connection.values),
+            business,
+            time.monotonic(),
+            connection.transaction is not None,
         )
         self.group.executed += [executed] * (10 if self.plant == "repeated" else 1)
 
--- a/src/rosemaryridge_testbed/soak/_callers.py
+++ b/src/rosemaryridge_testbed/soak/_callers.py
@@ -18,6 +18,12 @@
 _TRANSACTION_SHARE = 0.3
 _RECONNECT_SHARE = 0.1
 _PAUSE_S = 0.02
+# Transactions that may outlast half of a grace period: reads with pauses.
+_LONG_SHARE = 0.05
+_LONG_READS = (3, 12)
+_LONG_PAUSE_S = 0.3
+# Longer than any route's timeout here: an answer that never comes is a cut one.
+_ANSWER_TIMEOUT_S = 8.0
 # The session value that names the caller; its writes must run with it.
 OWNER = "owner"
 _CONNECTION_ERRORS = (OSError, asyncio.IncompleteReadError, TimeoutError)
@@ -43,6 +49,8 @@
         self._addresses = addresses
         self._ledger = ledger
         self._rng = rng
+        # Draws of its own leave the sequences of earlier seeds as they were.
+        self._long_rng = random.Random(f"long/{number}")
         self._written = 0
         self._clients: dict[str, Client] = {}
         # The last acknowledged write of each open session.
@@ -58,6 +66,9 @@
                 else:
                     await self._read(kind)
             except _CONNECTION_ERRORS:
+                client = self._clients.get(kind)
+                if client is not None and client.outstanding:
+                    self._ledger.cut.add(client.outstanding)
                 self._drop(kind)
                 await asyncio.sleep(5 * _PAUSE_S)
             if self._rng.random() < _RECONNECT_SHARE:
@@ -71,7 +82,9 @@
             address = self._rng.choice(self._addresses)
             database = f"{self._service}-{kind}"
             async with asyncio.timeout(3.0):
-                self._clients[kind] = await Client.open(address, database, self._key)
+                client = await Client.open(address, database, self._key)
+            client.timeout_s = _ANSWER_TIMEOUT_S
+            self._clients[kind] = client
             await self._clients[kind].execute(f"SET {OWNER} {self._item}")
         return self._clients[kind]
 
@@ -98,7 +111,12 @@
         text = f"WRITE {self._item} {data}"
         if self._rng.random() >= _TRANSACTION_SHARE:
             return self._check_signature(await client.execute(text))
-        for statement in ("BEGIN", text):
+        reads = 0
+        if self._long_rng.random() < _LONG_SHARE:
+            reads = self._long_rng.randint(*_LONG_READS)
+        for statement in ("BEGIN", text, *[f"READ {self._item}"] * reads):
+            if statement.startswith("READ"):
+                await asyncio.sleep(_LONG_PAUSE_S)
             reply = await client.execute(statement)
             if reply.code:
                 await client.execute("ROLLBACK")
@@ -131,6 +149,7 @@
         """Return the answer's outcome, and count a success without a signature."""
         if reply.outcome is Outcome.DONE and reply.signature in ("", "-"):
             self._ledger.unsigned += 1
+        self._ledger.unknown += reply.outcome is Outcome.UNKNOWN
         return reply.outcome
 
 
--- a/src/rosemaryridge_testbed/soak/_faults.py
+++ b/src/rosemaryridge_testbed/soak/_faults.py
@@ -12,6 +12,13 @@
 if t.TYPE_CHECKING:
     from rosemaryridge_testbed.soak._soak import Soak
 
+# Faults that an operator orders; statements of callers outlast them.
+PLANNED_FAULTS = frozenset(
+    ("change_config", "drain_target", "reload_proxies", "slow_answers", "stop_proxy")
+)
+# Those of them that leave no outcome unknown.
+STOPPING_FAULTS = frozenset(("change_config", "reload_proxies", "stop_proxy"))
+
 Fault = t.Callable[["Soak", random.Random], t.Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
 
@@ -98,6 +105,49 @@
     target.work_s = 0.002
 
 
+@_fault
+async def _slow_answers(soak: "Soak", rng: random.Random) -> None:
+    """Let the statements of a moment take seconds, so that they outlast a stop."""
+    target = _choose_target(soak, rng)
+    target.work_s = rng.uniform(1.0, 6.0)
+    await asyncio.sleep(0.2 * rng.random())
+    target.work_s = 0.002
+
+
+@_fault
+async def _lost_entry(soak: "Soak", rng: random.Random) -> None:
+    """Start a proxy while the entry of a primary that serves others is gone."""
+    target, name = _choose_target(soak, rng), rng.choice(soak.names)
+    soak.signal(name, signal.SIGKILL)
+    target.cut_off = True
+    soak.site.store.erase("servers", target.name)
+    await soak.wait_until_ended(name)
+    await asyncio.sleep(0.5 * rng.random())
+    soak.restart(name)
+    await asyncio.sleep(_draw_duration_s(rng))
+    soak.site.register(target)
+    target.rejoin()
+
+
+@_fault
+async def _leaving_primary(soak: "Soak", rng: random.Random) -> None:
+    """Let a primary leave while nothing that could succeed it answers."""
+    primary = soak.group.targets.get(soak.group.primary)
+    if primary is None or primary.draining:
+        return
+    others = [tgt for tgt in soak.group.targets.values() if tgt is not primary]
+    for target in others:
+        target.fault = "mute"
+    primary.draining = True
+    soak.site.register(primary)
+    with soak.watch_leaving(primary):
+        await asyncio.sleep(soak.site.options.drain_ms / 1000 + _draw_duration_s(rng))
+    primary.draining = False
+    soak.site.register(primary)
+    for target in others:
+        target.fault = ""
+
+
 @_fault
 async def _refusing_target(soak: "Soak", rng: random.Random) -> None:
     """Refuse a part of some kinds of requests; the states in the answers are true."""
--- a/src/rosemaryridge_testbed/soak/_ledger.py
+++ b/src/rosemaryridge_testbed/soak/_ledger.py
@@ -23,6 +23,9 @@
     REVOKED = "a key that was taken away is refused soon after the last fault"
     PINNED = "a write runs with the session value of its caller"
     UNSIGNED = "a success carries its target's signature"
+    CUT = "planned work ends no connection with a statement at a target"
+    UNKNOWN = "stopped proxies leave no outcome unknown"
+    DRAIN = "a leaving target gets no new work after its time"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +45,10 @@
         self.reads: list[Read] = []
         self.stale: list[Read] = []
         self.unsigned = 0
+        # Ids of statements whose connection ended before the answer.
+        self.cut: set[str] = set()
+        # Answers that promise nothing.
+        self.unknown = 0
         self._acknowledged: dict[str, list[tuple[float, str]]] = {}
         self._not_run: set[str] = set()
 
--- a/src/rosemaryridge_testbed/soak/_soak.py
+++ b/src/rosemaryridge_testbed/soak/_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import itertools
 import pathlib
@@ -23,11 +24,14 @@
 from rosemaryridge_testbed.site import Site
 from rosemaryridge_testbed.site import SiteOptions
 from rosemaryridge_testbed.site._target import SiteGroup
+from rosemaryridge_testbed.site._target import SiteTarget
 from rosemaryridge_testbed.soak import _businesses
 from rosemaryridge_testbed.soak._callers import Caller
 from rosemaryridge_testbed.soak._callers import Flood
 from rosemaryridge_testbed.soak._callers import count_foreign
 from rosemaryridge_testbed.soak._faults import FAULTS
+from rosemaryridge_testbed.soak._faults import PLANNED_FAULTS
+from rosemaryridge_testbed.soak._faults import STOPPING_FAULTS
 from rosemaryridge_testbed.soak._ledger import Ledger
 from rosemaryridge_testbed.soak._ledger import Rule
 
@@ -43,6 +47,11 @@
 _RELAYED_APPLY_MS = 6000
 # A database whose route the faults add and remove; no caller uses it.
 _TOGGLED_DATABASE = f"{_SERVICE}-toggled"
+# Beside planned work, timeouts over half of the grace period, and short drain times.
+_PLANNED_TIMEOUT_MS = 4000
+_PLANNED_DRAIN_MS = 1500
+# A proxy learns that a target leaves within this time.
+_DRAIN_SLACK_S = 0.7
 # `grace_s` of the settings, plus the longest pause of a proxy, plus a margin.
 _END_TIMEOUT_S = 6.0 + 3.0 + 3.0
 
@@ -75,9 +84,22 @@
     def __init__(self, options: SoakOptions):
         self.options = options
         businesses = _businesses.BUSINESSES if options.keyed else ()
+        faults = set(options.faults)
+        self._is_planned = bool(faults) and faults <= PLANNED_FAULTS
+        self._only_stops = bool(faults) and faults <= STOPPING_FAULTS
+        self._only_leaves = faults == {"leaving_primary"}
+        # Targets that may not get new work, from when and until when.
+        self._leaving: list[tuple[str, float, float]] = []
+        defaults = SiteOptions()
         self.site = Site(
             SiteOptions(
                 fenced=options.fenced,
+                timeout_ms=(
+                    _PLANNED_TIMEOUT_MS if self._is_planned else defaults.timeout_ms
+                ),
+                drain_ms=(
+                    _PLANNED_DRAIN_MS if self._only_leaves else defaults.drain_ms
+                ),
                 businesses=businesses,
                 config_apply_ms=_RELAYED_APPLY_MS if options.relayed else None,
             )
@@ -155,6 +177,7 @@
             log, self.group.rolled_back, set(self.group.split_commits)
         )
         violations[Rule.PINNED] += count_foreign(self.group.executed)
+        violations += self._count_of_planned_work()
         violations[Rule.RECOVER] += not recovered
         violations[Rule.CONFIG] += outdated
         violations[Rule.REVOKED] += revoked
@@ -164,6 +187,32 @@
             )
         return +violations
 
+    @contextlib.contextmanager
+    def watch_leaving(self, target: SiteTarget) -> t.Iterator[None]:
+        """Check that a target that leaves meanwhile gets no new work after its time."""
+        drain_s = self.site.options.drain_ms / 1000
+        since = time.monotonic() + drain_s + _DRAIN_SLACK_S
+        yield
+        self._leaving.append((target.name, since, time.monotonic()))
+
+    def _count_of_planned_work(self) -> collections.Counter[Rule]:
+        """Count the violations of what holds where all faults are planned work."""
+        executed = self.group.executed
+        violations: collections.Counter[Rule] = collections.Counter()
+        if self._is_planned:
+            ran = {statement.id for statement in executed}
+            violations[Rule.CUT] = len(self.ledger.cut & ran)
+        if self._only_stops:
+            violations[Rule.UNKNOWN] = self.ledger.unknown
+        if self._only_leaves:
+            violations[Rule.DRAIN] = sum(
+                statement.target == name and since < statement.at < until
+                for statement in executed
+                if statement.id != "-" and not statement.in_transaction
+                for name, since, until in self._leaving
+            )
+        return violations
+
     def toggle_route(self) -> None:
         """Publish a configuration that adds or removes one route."""
         self._has_toggled_route = not self._has_toggled_route
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -36,6 +36,20 @@
     def test_owners_keep_the_guarantees(self):
         self.assertEqual(dict(self.run_seed(3, 10.0, owned=True)), {})
 
+    def test_planned_work_cuts_no_statement(self):
+        faults = ("reload_proxies", "slow_answers", "stop_proxy")
+        self.assertEqual(dict(self.run_seed(21, 5.0, faults=faults)), {})
+        faults = ("stop_proxy",)
+        self.assertEqual(dict(self.run_seed(11, 5.0, faults=faults, owned=True)), {})
+
+    def test_a_proxy_that_starts_as_an_entry_goes_deposes_nobody_early(self):
+        violated = self.run_seed(31, 5.0, faults=("lost_entry",), fenced=False)
+        self.assertEqual(dict(violated), {})
+
+    def test_a_leaving_primary_without_a_successor_gets_no_new_work(self):
+        violated = self.run_seed(41, 5.0, faults=("leaving_primary",))
+        self.assertEqual(dict(violated), {})
+
     def test_proxies_that_pass_changes_on_keep_the_guarantees(self):
         violated = self.run_seed(4, 10.0, proxies=5, relayed=True)
         self.assertEqual(dict(violated), {})
