Depose nobody for a claim that cannot be read

What callers saw: since a vote without the claimed target steps the primary down, an entry of another writer in place of a claim would have replaced a healthy one. Cause: the name that stands for an unreadable claim's target is listed nowhere. Change: only a claim that names its target can miss one; a vote decides as before. Result: the new test failed before, passes; tests.test_leadership passes.

--- a/src/rosemaryridge/core/_leadership.py
+++ b/src/rosemaryridge/core/_leadership.py
@@ -122,7 +122,11 @@
         all_deny = bool(others) and all(answer is False for answer in answers)
         # A target that is not listed has not voted, and may have been promoted.
         claimed = self.superseded_by(target)
-        is_claimed_missing = bool(claimed) and claimed not in others
+        is_claimed_missing = (
+            claimed != ""
+            and claimed not in others
+            and self._claims.is_readable(self._service)
+        )
         confirmed = all_deny and not is_claimed_missing
         if all_deny and is_claimed_missing and not self._claims.failing:
             # Nothing else proves who leads: the group needs another promotion.
--- a/src/rosemaryridge/core/store/_claims.py
+++ b/src/rosemaryridge/core/store/_claims.py
@@ -160,6 +160,10 @@
         """Return the last known claim on a group, `NOT_CLAIMED` without any."""
         return self._claims.get(service, NOT_CLAIMED)
 
+    def is_readable(self, service: str) -> bool:
+        """Return whether the last known claim on a group, if any, names its target."""
+        return self.claim(service).target != _UNREADABLE_TARGET
+
     def seen_s(self, service: str) -> float:
         """Return for how long this proxy has known the claim on a group, in seconds."""
         return boottime() - self._seen_at.get(service, float("-inf"))
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -203,6 +203,14 @@
         self.assertFalse(await self.leadership.confirm("a", boottime()))
         self.assertEqual(self.stepped_down, ["a"])
 
+    async def test_a_claim_that_cannot_be_read_deposes_nobody(self):
+        # A healthy primary would be replaced for an entry of another writer.
+        self.store.claims["books"] = None
+        await self.claims.refresh(boottime() - 1.0)
+        self.claims._seen_at["books"] -= 10.0
+        self.assertTrue(await self.leadership.confirm("a", boottime()))
+        self.assertEqual((self.probes, self.stepped_down), (["b", "c"], []))
+
     async def test_a_group_of_one_target_has_no_vote(self):
         self.store.error = StoreUnavailable("away")
         self.answers = {"a": True}
