--- a/src/rosemaryridge/proxy/_transaction_statements.py
+++ b/src/rosemaryridge/proxy/_transaction_statements.py
@@ -82,12 +82,11 @@
             message = "savepoints can only be used in transaction blocks"
             raise PgError(_NO_TRANSACTION, message)
         tag = await transaction.command(query.text, session.effective_options(query))
-        name = query.text.rstrip("; \n").split()[-1].lower()
         if query.statement.name == "rollback":
             transaction.failed = False
-            transaction.record_rollback_to(name)
+            transaction.record_rollback_to(query.statement.value)
         elif query.statement.name == "savepoint":
-            transaction.record_savepoint(name)
+            transaction.record_savepoint(query.statement.value)
         return Completion(tag)
 
 
--- a/src/rosemaryridge/sql/_classify.py
+++ b/src/rosemaryridge/sql/_classify.py
@@ -159,14 +159,19 @@
     if "prepared" in words:
         return _unsupported(text, "two-phase commit is not supported")
     if "to" in words:
-        return Statement(text, StatementClass.SAVEPOINT, name="rollback")
+        return _savepoint_statement(text, tokens, "rollback")
     chain = "chain" in words and "no" not in words
     return Statement(text, StatementClass.ROLLBACK, chain=chain)
 
 
 @_register_classifier("savepoint", "release")
 def _savepoint(text: str, tokens: list[Token]) -> Statement:
-    return Statement(text, StatementClass.SAVEPOINT, name=tokens[0].text.lower())
+    return _savepoint_statement(text, tokens, tokens[0].text.lower())
+
+
+def _savepoint_statement(text: str, tokens: list[Token], name: str) -> Statement:
+    value = tokens[-1].text.lower()
+    return Statement(text, StatementClass.SAVEPOINT, name=name, value=value)
 
 
 _SET = re.compile(
--- a/src/rosemaryridge/sql/_statement.py
+++ b/src/rosemaryridge/sql/_statement.py
@@ -28,10 +28,10 @@
 
     `functions` are the functions called by a read that are not in PURE_FUNCTIONS.
     `name` and `value` are the arguments of SET, RESET and SHOW; for DISCARD, `name`
-    is what is discarded; for SAVEPOINT, it is the command. `reason` is why a
-    statement is unsupported or not a read. `read_only` is declared by BEGIN or SET
-    TRANSACTION. `local` is true for SET LOCAL and SET TRANSACTION, `chain` for
-    COMMIT AND CHAIN and ROLLBACK AND CHAIN.
+    is what is discarded; for SAVEPOINT, it is the command and `value` the savepoint.
+    `reason` is why a statement is unsupported or not a read. `read_only` is declared
+    by BEGIN or SET TRANSACTION. `local` is true for SET LOCAL and SET TRANSACTION,
+    `chain` for COMMIT AND CHAIN and ROLLBACK AND CHAIN.
     """
 
     text: str
