--- a/src/rosemaryridge_testbed/soak/_faults.py
+++ b/src/rosemaryridge_testbed/soak/_faults.py
@@ -117,14 +117,16 @@
 @_fault
 async def _lost_entry(soak: "Soak", rng: random.Random) -> None:
     """Start a proxy while the entry of a primary that serves others is gone."""
-    target, name = _choose_target(soak, rng), rng.choice(soak.names)
+    target, name = soak.group.targets.get(soak.group.primary), rng.choice(soak.names)
+    if target is None or target.cut_off:
+        return
     soak.signal(name, signal.SIGKILL)
     target.cut_off = True
-    soak.site.store.erase("servers", target.name)
     await soak.wait_until_ended(name)
-    await asyncio.sleep(0.5 * rng.random())
+    soak.site.store.erase("servers", target.name)
     soak.restart(name)
-    await asyncio.sleep(_draw_duration_s(rng))
+    # The process looks for a primary for 1.2 s before it acts.
+    await asyncio.sleep(rng.uniform(3.0, 5.0))
     soak.site.register(target)
     target.rejoin()
 
