--- a/src/rosemaryridge_testbed/soak/_callers.py
+++ b/src/rosemaryridge_testbed/soak/_callers.py
@@ -85,7 +85,10 @@
                 client = await Client.open(address, database, self._key)
             client.timeout_s = _ANSWER_TIMEOUT_S
             self._clients[kind] = client
-            await self._clients[kind].execute(f"SET {OWNER} {self._item}")
+            reply = await client.execute(f"SET {OWNER} {self._item}")
+            if reply.code:
+                # A caller closes a session whose SET fails: its values are not known.
+                raise ConnectionRefusedError(reply.error)
         return self._clients[kind]
 
     def _drop(self, kind: str) -> None:
