Give leaving targets of the soak more time than proxies collect changes

Cause, traced: the run's drain time of 1.5 s was shorter than the 3 s for which a proxy may collect changes of targets; vm-1 learned of the leaving target 2.4 s later than the others. The deployments name 7 s, of which the data path's bound takes that delay off.

--- a/src/rosemaryridge_testbed/soak/_soak.py
+++ b/src/rosemaryridge_testbed/soak/_soak.py
@@ -47,9 +47,10 @@
 _RELAYED_APPLY_MS = 6000
 # A database whose route the faults add and remove; no caller uses it.
 _TOGGLED_DATABASE = f"{_SERVICE}-toggled"
-# Beside planned work, timeouts over half of the grace period, and short drain times.
+# Beside planned work, timeouts over half of the grace period, and drain times that are
+# short, but longer than the 3 s for which a proxy may collect changes of targets.
 _PLANNED_TIMEOUT_MS = 4000
-_PLANNED_DRAIN_MS = 1500
+_PLANNED_DRAIN_MS = 4000
 # A proxy learns that a target leaves within this time.
 _DRAIN_SLACK_S = 0.7
 # `grace_s` of the settings, plus the longest pause of a proxy, plus a margin.
