Show review case 6 with one disruption

Added: the primary is partitioned from its replicas and one proxy, in place of a planned replacement and a replica that receives nothing.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,6 +12,15 @@
 MAX_STALENESS_S = 1.5
 # The deployment's sheet: 20 ms one way between geos.
 BETWEEN_GEOS_S = 0.04
+# As long as the site file's longest `primary_cut`.
+CUT_S = 7.0
+
+
+def heal(world: site2.World, backend: site2.Backend) -> None:
+    """End the partition of a backend."""
+    world.record.write(f"the cut of {backend.name} heals")
+    backend.cut = False
+    backend.pull_later()
 
 
 async def write_all_day(
@@ -19,8 +28,9 @@
 ) -> None:
     """Write through one session, some ten times a second."""
     for number in range(10_000):
-        reply = await caller.ask(f"WRITE box{number % 7} v{number}")
-        commit = world.commit_of(f"v{number}")
+        data = f"{caller.name}-{number}"
+        reply = await caller.ask(f"WRITE box{number % 7} {data}")
+        commit = world.commit_of(data)
         if reply.ok and commit is not None:
             acknowledged.append((reply.answered_at, commit))
         await asyncio.sleep(0.1)
@@ -43,31 +53,37 @@
     try:
         await world.start(list(world.zones))
         old = world.database.backends["db-khomas-a"]
-        near, far, _ = world.proxies
+        near, far, third = world.proxies
         acknowledged: list[tuple[float, site2.Commit]] = []
         reads: list[site2.Reply] = []
-        writer = await world.caller("writer", far, "box-change")
-        tasks.append(asyncio.create_task(write_all_day(writer, world, acknowledged)))
+        for proxy in (far, third):
+            writer = await world.caller(f"writer-{proxy.zone}", proxy, "box-change")
+            work = write_all_day(writer, world, acknowledged)
+            tasks.append(asyncio.create_task(work))
         for number in range(2):
             reader = await world.caller(f"reader-{number}", near, "scent-browse")
             tasks.append(asyncio.create_task(read_all_day(reader, reads)))
         await asyncio.sleep(3.0)
 
+        if trouble:
+            world.record.write(
+                f"primary_cut: {old.name} is partitioned from its replicas and from "
+                f"{far.name}"
+            )
+            old.cut_from = {far.process.pid}
+            old.cut = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(CUT_S, heal, world, old)
+        cut_at = world.record.now()
         resting = await world.caller("resting", near, "box-change")
+        # A promote takes effect some 2.2 s after the cut.
+        await asyncio.sleep(1.6)
         await resting.ask("BEGIN")
         await resting.ask("READ box1")
-        began_at = world.record.now()
-        if trouble:
-            world.record.write(f"planned: {old.name} reports draining")
-            old.draining = True
-            old.report()
-            while not world.database.promotions and world.record.now() < 30.0:
-                await asyncio.sleep(0.01)
-            world.record.write(f"replica_lag, deaf: {old.name} receives nothing")
-            old.deaf = True
         # Shorter than tx_idle_ms, 3 s.
-        await asyncio.sleep(began_at + 2.85 - world.record.now())
+        await asyncio.sleep(2.8)
         await resting.ask("COMMIT")
+        await asyncio.sleep(cut_at + CUT_S - world.record.now())
         await asyncio.sleep(2.0)
         for task in tasks:
             task.cancel()
--- a/review/site2.py
+++ b/review/site2.py
@@ -44,6 +44,23 @@
     return f"{host}:{port}"
 
 
+def process_behind(port: int, pids: t.Iterable[int]) -> int:
+    """Return which process has the loopback connection with a local port, 0 if none."""
+    wanted = f"{port:04X}"
+    inode = ""
+    for line in pathlib.Path("/proc/net/tcp").read_text("ascii").splitlines()[1:]:
+        fields = line.split()
+        if fields[1].split(":")[1] == wanted and fields[9] != "0":
+            inode = fields[9]
+    for pid in pids:
+        with contextlib.suppress(OSError):
+            for link in pathlib.Path(f"/proc/{pid}/fd").iterdir():
+                with contextlib.suppress(OSError):
+                    if os.readlink(link) == f"socket:[{inode}]":
+                        return pid
+    return 0
+
+
 class Record:
     """Write what was sent, answered and run, with seconds since the start."""
 
@@ -245,6 +262,8 @@
     transaction: bool | None = None
     failed: bool = False
     writes: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    # The proxy that opened it, where that matters.
+    pid: int = 0
 
 
 class RefusedError(Exception):
@@ -282,6 +301,7 @@
         self.primary = ""
         self.backends: dict[str, Backend] = {}
         self.runs: list[Run] = []
+        self.proxy_pids: list[int] = []
         # Commits that a promotion rolled back, and (target, lost commits) of each.
         self.rolled_back: set[Commit] = set()
         self.promotions: list[tuple[float, str, tuple[Commit, ...]]] = []
@@ -314,7 +334,9 @@
 
     `net_s` is the delay of what it receives, `lag_s` the delay until it is applied,
     `answer_s` the delay of its answers on the way. A `deaf` backend receives nothing
-    from other backends; a `dark` one answers nobody.
+    from other backends; a `dark` one answers nobody. One that is `cut` reaches neither
+    the other backends nor the proxies with the process ids in `cut_from`; what these
+    send is held up until the cut has healed.
     """
 
     def __init__(
@@ -338,6 +360,8 @@
         self.applied = 0
         self.deaf = False
         self.dark = False
+        self.cut = False
+        self.cut_from: set[int] = set()
         self.draining = False
         self.running = True
         self.address = ""
@@ -410,6 +434,8 @@
         await asyncio.sleep(self.net_s)
         if source is None or self.deaf or self.dark or not self.running:
             return
+        if self.cut or source.cut:
+            return
         leads_no_more = source.name != self.database.primary
         if self.leads or leads_no_more or source.dark or not source.running:
             return
@@ -436,14 +462,18 @@
     ) -> None:
         self._writers.add(writer)
         connection = Connection()
+        if self.database.proxy_pids:
+            port = writer.get_extra_info("peername")[1]
+            connection.pid = process_behind(port, self.database.proxy_pids)
         try:
-            word, service, _, name = (await self._line(reader)).split(" ")
+            line = await self._line(reader, connection)
+            word, service, _, name = line.split(" ")
             if word != "START" or (service, name) != (self.database.service, self.name):
                 writer.write(f"ERROR WRONGNODE {self.name}\r\n".encode())
                 return
             await self._send(writer, [], connection)
             while True:
-                request = await self._line(reader)
+                request = await self._line(reader, connection)
                 if request == "TERMINATE":
                     return
                 _, id_, text = request.split(" ", 2)
@@ -460,10 +490,14 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _line(self, reader: asyncio.StreamReader) -> str:
+    async def _line(self, reader: asyncio.StreamReader, connection: Connection) -> str:
         line = (await reader.readuntil(b"\r\n"))[:-2].decode()
         if self.dark:
             await asyncio.sleep(3600.0)
+        while self.cut and connection.pid in self.cut_from:
+            await asyncio.sleep(0.05)
+            if reader.at_eof():
+                raise ConnectionError("reset while it was held up")
         return line
 
     async def _send(
@@ -474,6 +508,8 @@
         lines = [*lines, f"READY {state} {self.position()}"]
         if self.answer_s:
             await asyncio.sleep(self.answer_s)
+        while self.cut and connection.pid in self.cut_from:
+            await asyncio.sleep(0.05)
         writer.write("".join(f"{line}\r\n" for line in lines).encode())
         await writer.drain()
 
@@ -924,6 +960,7 @@
             stderr=log,
             start_new_session=True,
         )
+        self.database.proxy_pids.append(proxy.process.pid)
 
     async def _wait_until_ready(self, proxy: Proxy) -> None:
         for _ in range(200):
