--- a/review/site2.py
+++ b/review/site2.py
@@ -304,6 +304,8 @@
         self.proxy_pids: list[int] = []
         # Commits that a promotion rolled back, and (target, lost commits) of each.
         self.rolled_back: set[Commit] = set()
+        # By what they wrote.
+        self.commits: dict[str, Commit] = {}
         self.promotions: list[tuple[float, str, tuple[Commit, ...]]] = []
 
     async def promote(self, name: str) -> None:
@@ -362,6 +364,8 @@
         self.dark = False
         self.cut = False
         self.cut_from: set[int] = set()
+        # The words of requests whose next answer is lost.
+        self.loses: set[str] = set()
         self.draining = False
         self.running = True
         self.address = ""
@@ -371,6 +375,7 @@
         self._born = int(time.time() * 1000)
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._port = 0
         self._tasks: set[asyncio.Task[None]] = set()
         database.backends[name] = self
 
@@ -381,10 +386,23 @@
 
     async def start(self) -> None:
         """Listen and register."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
-        self.address = bound_address(self._server)
+        await self._listen()
         self._spawn(self._heartbeat())
 
+    async def _listen(self) -> None:
+        self._server = await asyncio.start_server(self._serve, HOST, self._port)
+        self.address = bound_address(self._server)
+        self._port = int(self.address.rpartition(":")[2])
+
+    async def restart(self) -> None:
+        """Come back after a crash, with the log; as a replica if another leads."""
+        self.running = True
+        self._born = int(time.time() * 1000)
+        self._sequence = itertools.count(1)
+        await self._listen()
+        self.report()
+        self.pull_later()
+
     def report(self) -> None:
         """Write this backend's entry."""
         if self.dark or not self.running:
@@ -478,6 +496,13 @@
                     return
                 _, id_, text = request.split(" ", 2)
                 lines = await self._answer(connection, id_, text)
+                word = text.split(" ", 1)[0]
+                if word in self.loses:
+                    self.loses.discard(word)
+                    self.database.record.write(
+                        f"answer_lost: that of {self.name} to {text} ({id_})"
+                    )
+                    continue
                 if self.dark:
                     await asyncio.sleep(3600.0)
                 await self._send(writer, lines, connection)
@@ -650,6 +675,7 @@
     async def _append(self, writes: tuple[tuple[str, str], ...]) -> None:
         number = self.log[-1].number + 1 if self.log else 1
         commit = Commit(self.database.term, number, writes)
+        self.database.commits.update((data, commit) for _, data in writes)
         self.log.append(commit)
         self.applied = len(self.log)
         others = [b for b in self.database.backends.values() if b is not self]
