--- a/review/6/case.py
+++ b/review/6/case.py
@@ -75,14 +75,24 @@
             loop = asyncio.get_running_loop()
             loop.call_later(CUT_S, heal, world, old)
         cut_at = world.record.now()
-        resting = await world.caller("resting", near, "box-change")
-        # A promote takes effect some 2.2 s after the cut.
-        await asyncio.sleep(1.6)
-        await resting.ask("BEGIN")
-        await resting.ask("READ box1")
+        resting = [
+            await world.caller(f"resting-{number}", near, "box-change")
+            for number in range(3)
+        ]
+        # Begins after the promote is ordered and before it takes effect.
+        while trouble and not world.cloud.calls:
+            if world.record.now() > cut_at + 6.0:
+                raise RuntimeError("no promote was ordered")
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        for caller in resting:
+            await caller.ask("BEGIN")
+            await caller.ask("READ box1")
         # Shorter than tx_idle_ms, 3 s.
-        await asyncio.sleep(2.8)
-        await resting.ask("COMMIT")
+        await asyncio.sleep(2.5)
+        for caller in resting:
+            await caller.ask("COMMIT")
+            await asyncio.sleep(0.1)
         await asyncio.sleep(cut_at + CUT_S - world.record.now())
         await asyncio.sleep(2.0)
         for task in tasks:
--- a/review/site2.py
+++ b/review/site2.py
@@ -696,6 +696,7 @@
     def __init__(self, record: Record) -> None:
         super().__init__()
         self.databases: dict[str, Database] = {}
+        self.is_down = False
         self.calls: list[tuple[float, str, str, str, int]] = []
         self._fences: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -711,6 +712,9 @@
         holder = headers["x-rosemaryridge-lease-holder"]
         fence = int(headers["x-rosemaryridge-fencing-token"])
         self.calls.append((self._record.now(), service, name, holder, fence))
+        if self.is_down:
+            self._record.write(f"platform: 503 to {holder}, promote of {name}")
+            return 503, None
         database = self.databases[service]
         backend = database.backends.get(name)
         is_old = fence < self._fences.get(service, 0)
