Name record.txt in each case of the second review

Cause: the path was built in the shared stand-in, so that the cases' own folders did not show that they write it. Added: each case passes its record.txt.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,7 +19,7 @@
 
 async def run(folder: pathlib.Path, trouble: bool) -> str:
     """Return what was broken."""
-    world = site2.World(folder, routes=ROUTES)
+    world = site2.World(folder / "record.txt", routes=ROUTES)
     database = world.database
     # The primary is not the nearest backend of the proxy that is stopped.
     primary = site2.Backend("db-oshana-a", database, "oshana-a", answer_s=0.04)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,7 +12,7 @@
 
 async def run(folder: pathlib.Path, trouble: bool) -> str:
     """Return what was broken."""
-    world = site2.World(folder, sync_replicas=1)
+    world = site2.World(folder / "record.txt", sync_replicas=1)
     for zone in world.zones:
         site2.Backend(f"db-{zone}", world.database, zone)
     acknowledged: list[tuple[float, site2.Commit]] = []
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -45,7 +45,7 @@
 
 async def run(folder: pathlib.Path, trouble: bool) -> str:
     """Return what was broken."""
-    world = site2.World(folder)
+    world = site2.World(folder / "record.txt")
     for zone in world.zones:
         backend = site2.Backend(f"db-{zone}", world.database, zone)
         backend.answer_s = 0.0 if zone == "khomas-a" else BETWEEN_GEOS_S
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -46,7 +46,7 @@
 
 async def run(folder: pathlib.Path, trouble: bool) -> str:
     """Return what was broken."""
-    world = site2.World(folder, sync_replicas=1)
+    world = site2.World(folder / "record.txt", sync_replicas=1)
     database = world.database
     primary = site2.Backend("db-1", database, "khomas-a")
     site2.Backend("db-2", database, "oshana-a")
--- a/review/site2.py
+++ b/review/site2.py
@@ -819,13 +819,13 @@
 
     def __init__(
         self,
-        folder: pathlib.Path,
+        record: pathlib.Path,
         sync_replicas: int = 0,
         promote_s: float = 1.0,
         routes: t.Mapping[str, tuple[str, int, int]] | None = None,
         bounds: t.Mapping[str, t.Any] | None = None,
     ):
-        self.record = Record(folder / "record.txt")
+        self.record = Record(record)
         self.store = Store()
         self.cloud = Cloud(self.record)
         self.database = Database(
