Give each statement an execution of its own

Cause: one flag of the session told whether its statement was at a target, and a late attempt of an earlier hedged read reset it. Change: events, steps and attempts belong to an Execution, one for each statement; an attempt reaches only its own. The log line of a statement tells whether it was sent.

--- a/src/rosemaryridge/core/_caller.py
+++ b/src/rosemaryridge/core/_caller.py
@@ -5,6 +5,7 @@
 
 from rosemaryridge.core._config import ConfigHolder
 from rosemaryridge.core._config import Route
+from rosemaryridge.core._execution import Execution
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._reader import Reader
 from rosemaryridge.core._runner import Runner
@@ -19,7 +20,7 @@
 from rosemaryridge.core._transaction import Transaction
 from rosemaryridge.core.businesses import Business
 
-_Handler = t.Callable[["Caller", Statement], t.Awaitable[Answer]]
+_Handler = t.Callable[["Caller", Execution], t.Awaitable[Answer]]
 _HANDLERS: dict[Verb, _Handler] = {}
 _STOPPING = "the proxy stops before the statement could end"
 _STOPPED = "the proxy stopped before the target answered"
@@ -57,7 +58,7 @@
         """Return once an operation fits in its quota; raise StatementError."""
 
     def record_statement(
-        self, session: Session, statement: Statement, answer: Answer, elapsed_s: float
+        self, execution: Execution, answer: Answer, elapsed_s: float
     ) -> None:
         """Count a statement, and log it if it failed or was slow."""
 
@@ -84,18 +85,16 @@
     async def serve(self, statement: Statement) -> Answer:
         """Return the answer to one statement."""
         started_at = asyncio.get_running_loop().time()
-        self._session.trail.clear()
-        self._session.steps.elapsed_s.clear()
-        self._session.sent = False
+        execution = Execution(self._session, statement)
         try:
-            answer = await self._serve_until_ended(statement)
+            answer = await self._serve_until_ended(execution)
         except StatementError as exc:
             detail = exc.detail
             if exc.retry_after_s is not None:
                 detail = f"{detail}; retry after {int(exc.retry_after_s * 1000)} ms"
             answer = Answer(failure=exc.failure, detail=detail, state=self.state)
         elapsed_s = asyncio.get_running_loop().time() - started_at
-        self._proxy.record_statement(self._session, statement, answer, elapsed_s)
+        self._proxy.record_statement(execution, answer, elapsed_s)
         return answer
 
     @property
@@ -128,39 +127,38 @@
             self._transaction.roll_back()
             self._transaction = None
 
-    async def _serve_until_ended(self, statement: Statement) -> Answer:
+    async def _serve_until_ended(self, execution: Execution) -> Answer:
         try:
             async with asyncio.timeout(None) as self._limit:
-                return await self._serve(statement)
+                return await self._serve(execution)
         except TimeoutError:
             if self._limit is None or not self._limit.expired():
                 raise
-            raise self._ended_error(statement) from None
+            raise self._ended_error(execution) from None
         finally:
             self._limit = None
 
-    def _ended_error(self, statement: Statement) -> StatementError:
+    def _ended_error(self, execution: Execution) -> StatementError:
         """Return what has become of a statement that the end of the process cut off."""
         if self._transaction is not None:
             self._transaction.abort()
             return StatementError(Failure.ABORTED, _STOPPED, 0.0)
+        statement = execution.statement
         ends_transaction = statement.verb is Verb.COMMIT
-        if not self._session.sent:
+        if not execution.sent:
             failure = Failure.ABORTED if ends_transaction else Failure.BUSY
             return StatementError(failure, _STOPPING, 0.0)
         if ends_transaction or not self._session.is_read(statement):
             return StatementError(Failure.UNKNOWN_OUTCOME, _STOPPED)
         return StatementError(Failure.BUSY, _STOPPED, 0.0)
 
-    async def _serve(self, statement: Statement) -> Answer:
-        if (
-            self.state is TransactionState.FAILED
-            and statement.verb not in _TRANSACTION_ENDS
-        ):
+    async def _serve(self, execution: Execution) -> Answer:
+        verb = execution.statement.verb
+        if self.state is TransactionState.FAILED and verb not in _TRANSACTION_ENDS:
             raise StatementError(
                 Failure.MALFORMED, "the transaction has failed; send ROLLBACK or COMMIT"
             )
-        return await _HANDLERS[statement.verb](self, statement)
+        return await _HANDLERS[verb](self, execution)
 
     def _start_operation(self) -> tuple[Route, Group]:
         """Authorize the first statement of an operation; raise StatementError."""
@@ -168,10 +166,10 @@
         self._proxy.authorize(self._session)
         return route, group
 
-    async def _admit(self, route: Route, statement: Statement) -> None:
+    async def _admit(self, route: Route, execution: Execution) -> None:
         """Return once the operation fits in the business' quota."""
-        with self._session.steps.measure("quota"):
-            await self._proxy.admit(self._session, route, statement)
+        with execution.steps.measure("quota"):
+            await self._proxy.admit(self._session, route, execution.statement)
 
     def _may_end_in_time(self, route: Route) -> bool:
         """Return whether a statement is answered before this process ends."""
@@ -200,7 +198,7 @@
         return Answer(state=self.state)
 
     @_register_handler(Verb.BEGIN)
-    async def _begin(self, statement: Statement) -> Answer:
+    async def _begin(self, execution: Execution) -> Answer:
         if self._transaction is not None:
             raise StatementError(Failure.MALFORMED, "BEGIN inside an open transaction")
         route, group = self._start_operation()
@@ -211,17 +209,17 @@
         self._transaction = Transaction(
             self._proxy.runner,
             self._proxy.reader,
-            self._session,
+            execution,
             route,
             group,
-            statement.read_only,
+            execution.statement.read_only,
             self._proxy.config.current.transaction_idle_s,
-            self._admit(route, statement),
+            self._admit(route, execution),
         )
         return self._success_answer()
 
     @_register_handler(Verb.COMMIT)
-    async def _commit(self, statement: Statement) -> Answer:
+    async def _commit(self, execution: Execution) -> Answer:
         transaction = self._transaction
         if transaction is None:
             raise StatementError(
@@ -232,42 +230,42 @@
                 self._check_transaction(transaction)
         finally:
             self._transaction = None
-        return await transaction.commit(statement)
+        return await transaction.commit(execution)
 
     @_register_handler(Verb.ROLLBACK)
-    async def _roll_back(self, statement: Statement) -> Answer:
+    async def _roll_back(self, execution: Execution) -> Answer:
         transaction, self._transaction = self._transaction, None
         if transaction is not None:
             transaction.roll_back()
         return self._success_answer()
 
     @_register_handler(Verb.READ, Verb.WRITE, Verb.EXECUTE)
-    async def _run(self, statement: Statement) -> Answer:
+    async def _run(self, execution: Execution) -> Answer:
         if self._transaction is not None:
             # Raises if the prepared statement is unknown.
-            self._session.is_read(statement)
+            self._session.is_read(execution.statement)
             self._check_transaction(self._transaction)
-            return await self._transaction.run(statement)
+            return await self._transaction.run(execution)
         route, group = self._start_operation()
-        is_read = self._session.is_read(statement)
-        await self._admit(route, statement)
+        is_read = self._session.is_read(execution.statement)
+        await self._admit(route, execution)
         if not self._may_end_in_time(route):
             raise StatementError(Failure.BUSY, _STOPPING, 0.0)
         if is_read:
-            return await self._proxy.reader.read(self._session, route, group, statement)
-        return await self._proxy.runner.write(self._session, route, group, statement)
+            return await self._proxy.reader.read(execution, route, group)
+        return await self._proxy.runner.write(execution, route, group)
 
     @_register_handler(Verb.SET)
-    async def _set(self, statement: Statement) -> Answer:
-        self._session.set_value(statement)
+    async def _set(self, execution: Execution) -> Answer:
+        self._session.set_value(execution.statement)
         return self._success_answer()
 
     @_register_handler(Verb.PREPARE)
-    async def _prepare(self, statement: Statement) -> Answer:
-        self._session.prepare(statement)
+    async def _prepare(self, execution: Execution) -> Answer:
+        self._session.prepare(execution.statement)
         return self._success_answer()
 
     @_register_handler(Verb.DEALLOCATE)
-    async def _deallocate(self, statement: Statement) -> Answer:
-        self._session.deallocate(statement)
+    async def _deallocate(self, execution: Execution) -> Answer:
+        self._session.deallocate(execution.statement)
         return self._success_answer()
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -10,6 +10,7 @@
 from rosemaryridge.core._config import Route
 from rosemaryridge.core._directory import Directory
 from rosemaryridge.core._event_log import EventLog
+from rosemaryridge.core._execution import Execution
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._metrics import Labels
 from rosemaryridge.core._metrics import MetricsRegistry
@@ -179,14 +180,15 @@
         return route, self.directory.group(route.service)
 
     def record_statement(
-        self, session: Session, statement: Statement, answer: Answer, elapsed_s: float
+        self, execution: Execution, answer: Answer, elapsed_s: float
     ) -> None:
         """Count a statement, and log it if it failed or was slow."""
+        session, statement = execution.session, execution.statement
         outcome = answer.failure.value if answer.failure else "done"
         verb = statement.verb.value
         self.metrics.inc("statements_total", verb=verb, outcome=outcome)
         self.metrics.observe("statement_seconds", elapsed_s, verb=verb)
-        for step, step_s in session.steps.elapsed_s.items():
+        for step, step_s in execution.steps.elapsed_s.items():
             self.metrics.observe("statement_step_seconds", step_s, step=step)
         route = self.config.current.routes.get(session.database)
         slow = route is not None and elapsed_s > route.latency_target_s
@@ -201,10 +203,11 @@
             verb=verb,
             outcome=outcome if answer.failure else "slow",
             detail=answer.detail,
-            trail=session.trail[-_MAX_TRAIL_LOGGED:],
-            trail_length=len(session.trail),
+            trail=execution.trail[-_MAX_TRAIL_LOGGED:],
+            trail_length=len(execution.trail),
             took_ms=round(elapsed_s * 1000),
-            steps_ms=session.steps.milliseconds(),
+            sent=execution.sent,
+            steps_ms=execution.steps.milliseconds(),
             config=self.config.current.version,
         )
 
--- a/src/rosemaryridge/core/_reader.py
+++ b/src/rosemaryridge/core/_reader.py
@@ -7,6 +7,7 @@
 from rosemaryridge.core._boottime import boottime
 from rosemaryridge.core._config import Consistency
 from rosemaryridge.core._config import Route
+from rosemaryridge.core._execution import Execution
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._metrics import MetricsRegistry
 from rosemaryridge.core._placement import ReadRequirement
@@ -14,12 +15,10 @@
 from rosemaryridge.core._placement import choose_near_or_far
 from rosemaryridge.core._runner import ABANDONED_TIMEOUT_S
 from rosemaryridge.core._runner import Runner
-from rosemaryridge.core._session import Session
 from rosemaryridge.core._session import required_position
 from rosemaryridge.core._statement import NOT_RUN
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
-from rosemaryridge.core._statement import Statement
 from rosemaryridge.core._statement import StatementError
 from rosemaryridge.core._statement import TargetLost
 from rosemaryridge.core._statement import TransactionState
@@ -55,36 +54,27 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
 
-    async def read(
-        self, session: Session, route: Route, group: Group, statement: Statement
-    ) -> Answer:
+    async def read(self, execution: Execution, route: Route, group: Group) -> Answer:
         """Return a read's answer; raise StatementError."""
         deadline = self._loop.time() + route.timeout_s
         if route.consistency is Consistency.PRIMARY:
-            return await self._read_from_primary(
-                session, route, group, statement, deadline
-            )
-        return await self._read_from_any(session, route, group, statement, deadline)
+            return await self._read_from_primary(execution, route, group, deadline)
+        return await self._read_from_any(execution, route, group, deadline)
 
     async def _read_from_primary(
-        self,
-        session: Session,
-        route: Route,
-        group: Group,
-        statement: Statement,
-        deadline: float,
+        self, execution: Execution, route: Route, group: Group, deadline: float
     ) -> Answer:
         backoff = self._runner.backoff(deadline)
         while True:
-            with session.steps.measure("primary"):
+            with execution.steps.measure("primary"):
                 target = await group.wait_for_proven_primary(deadline)
             link = await self._runner.acquire_link(
-                session, group, target, route, deadline
+                execution, group, target, route, deadline
             )
             reason, failure = "the primary cannot be reached", Failure.BUSY
             if link is not None:
                 answer = await self._read_in_transaction(
-                    session, group, target, link, statement, deadline
+                    execution, group, target, link, deadline
                 )
                 if answer is not None and answer.failure not in NOT_RUN:
                     return answer
@@ -98,11 +88,10 @@
 
     async def _read_in_transaction(
         self,
-        session: Session,
+        execution: Execution,
         group: Group,
         target: Target,
         link: TargetLink,
-        statement: Statement,
         deadline: float,
     ) -> Answer | None:
         # A deposed primary answers a plain read from its outdated log, but refuses to
@@ -112,19 +101,18 @@
         try:
             if not at_once:
                 answer = await self._runner.begin(
-                    session, group, target, link, deadline, statement=statement
+                    execution.session,
+                    group,
+                    target,
+                    link,
+                    deadline,
+                    statement=execution.statement,
                 )
                 if not answer.ok:
                     self._runner.release(group, target, link, answer)
                     return answer
             answer = await self._runner.exchange(
-                session,
-                group,
-                target,
-                link,
-                statement,
-                deadline,
-                in_transaction=at_once,
+                execution, group, target, link, deadline, in_transaction=at_once
             )
         except TargetLost:
             target.pool.discard(link)
@@ -148,7 +136,7 @@
             return answer
         if at_once:
             group.record_primary(target, answer.position, requested_at)
-        with session.steps.measure("proof"):
+        with execution.steps.measure("proof"):
             is_proven = await group.confirm_primary(target, requested_at)
         if not is_proven:
             return Answer(
@@ -157,28 +145,20 @@
         return answer.in_state(TransactionState.IDLE)
 
     async def _read_from_any(
-        self,
-        session: Session,
-        route: Route,
-        group: Group,
-        statement: Statement,
-        deadline: float,
+        self, execution: Execution, route: Route, group: Group, deadline: float
     ) -> Answer:
         read = _HedgedRead()
         try:
-            return await self._read_hedged(
-                read, session, route, group, statement, deadline
-            )
+            return await self._read_hedged(read, execution, route, group, deadline)
         finally:
             read.ended = True
 
     async def _read_hedged(
         self,
         read: "_HedgedRead",
-        session: Session,
+        execution: Execution,
         route: Route,
         group: Group,
-        statement: Statement,
         deadline: float,
     ) -> Answer:
         tried: set[str] = set()
@@ -189,14 +169,14 @@
         # Expected waits of the tried targets whose queues are too long.
         waits: dict[str, float] = {}
         while True:
-            requirement = await self.read_requirement(session, route, group, deadline)
+            requirement = await self.read_requirement(execution, route, group, deadline)
             target = self.choose_target(group, requirement, tried)
             if target is None and not running:
                 if last_failure[0] is Failure.LAGGING:
                     # A promotion may have rolled back the session's writes; the
                     # primary has every commit that survived.
                     return await self._read_from_primary(
-                        session, route, group, statement, deadline
+                        execution, route, group, deadline
                     )
                 if waits and len(waits) == len(tried):
                     if read.accepts_late:
@@ -217,14 +197,7 @@
             if target is not None:
                 tried.add(target.id)
                 attempt = self._read_from(
-                    read,
-                    session,
-                    route,
-                    group,
-                    target,
-                    requirement,
-                    statement,
-                    deadline,
+                    read, execution, route, group, target, requirement, deadline
                 )
                 task = self._runner.spawn(attempt)
                 target_of[task] = target.id
@@ -254,17 +227,16 @@
     async def _read_from(
         self,
         read: "_HedgedRead",
-        session: Session,
+        execution: Execution,
         route: Route,
         group: Group,
         target: Target,
         requirement: ReadRequirement,
-        statement: Statement,
         deadline: float,
     ) -> Answer | None:
         try:
             link = await self._runner.acquire_link(
-                session, group, target, route, deadline
+                execution, group, target, route, deadline
             )
         except StatementError as exc:
             return Answer(
@@ -284,11 +256,10 @@
         answer_deadline = max(deadline, self._loop.time() + ABANDONED_TIMEOUT_S)
         try:
             answer = await self._runner.exchange(
-                session,
+                execution,
                 group,
                 target,
                 link,
-                statement,
                 answer_deadline,
                 requirement.position,
             )
@@ -346,18 +317,18 @@
         return target
 
     async def read_requirement(
-        self, session: Session, route: Route, group: Group, deadline: float
+        self, execution: Execution, route: Route, group: Group, deadline: float
     ) -> ReadRequirement:
         """Return the position that a read requires of its target.
 
         Raises StatementError if no recent position of the primary is known before the
         deadline.
         """
-        with session.steps.measure("position"):
+        with execution.steps.measure("position"):
             required = await group.fetch_min_position(route.max_age_s, deadline)
         if route.consistency is Consistency.SESSION:
-            required = required_position(session, required, boottime())
-        session.trail.append(
+            required = required_position(execution.session, required, boottime())
+        execution.trail.append(
             f"requires position {required[0]}, {required[1]:.2f} s old"
         )
         return ReadRequirement(*required)
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -8,6 +8,7 @@
 from rosemaryridge.core._boottime import boottime
 from rosemaryridge.core._config import Route
 from rosemaryridge.core._event_log import EventLog
+from rosemaryridge.core._execution import Execution
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._metrics import MetricsRegistry
 from rosemaryridge.core._pool import PoolClosed
@@ -63,9 +64,7 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def write(
-        self, session: Session, route: Route, group: Group, statement: Statement
-    ) -> Answer:
+    async def write(self, execution: Execution, route: Route, group: Group) -> Answer:
         """Return a write's answer; raise StatementError.
 
         The write is retried only after an answer that says that it did not run, or
@@ -74,15 +73,13 @@
         deadline = self._loop.time() + route.timeout_s
         backoff = self.backoff(deadline)
         while True:
-            with session.steps.measure("primary"):
+            with execution.steps.measure("primary"):
                 target = await group.wait_for_proven_primary(deadline)
-            link = await self.acquire_link(session, group, target, route, deadline)
+            link = await self.acquire_link(execution, group, target, route, deadline)
             if link is None:
                 await backoff.pause("the primary cannot be reached")
                 continue
-            answer = await self._write_once(
-                session, group, target, link, statement, deadline
-            )
+            answer = await self._write_once(execution, group, target, link, deadline)
             if answer is None:
                 await backoff.pause(f"the connection to {target.id} was lost")
                 continue
@@ -90,7 +87,7 @@
                 return answer
             self._log.write(
                 "write_refused",
-                id=statement.id,
+                id=execution.statement.id,
                 service=group.service,
                 target=target.id,
                 reason=answer.failure.value,
@@ -104,19 +101,16 @@
 
     async def _write_once(
         self,
-        session: Session,
+        execution: Execution,
         group: Group,
         target: Target,
         link: TargetLink,
-        statement: Statement,
         deadline: float,
     ) -> Answer | None:
         """Return the answer, None if the connection ended before the write was sent."""
         requested_at = boottime()
         try:
-            answer = await self.exchange(
-                session, group, target, link, statement, deadline
-            )
+            answer = await self.exchange(execution, group, target, link, deadline)
         except TargetLost as exc:
             target.pool.discard(link)
             group.suspect(target)
@@ -143,11 +137,11 @@
                 f"{target.id} left a transaction open after a write",
             )
         if answer.ok:
-            with session.steps.measure("proof"):
+            with execution.steps.measure("proof"):
                 await self.check_commit(group, target)
         if answer.ok and answer.position is not None:
             group.record_primary(target, answer.position, requested_at)
-            session.record_commit(answer.position, boottime())
+            execution.session.record_commit(answer.position, boottime())
         return answer
 
     async def check_commit(self, group: Group, target: Target) -> None:
@@ -163,7 +157,7 @@
 
     async def acquire_link(
         self,
-        session: Session,
+        execution: Execution,
         group: Group,
         target: Target,
         route: Route,
@@ -174,9 +168,10 @@
 
         Raises StatementError if no connection is available before the deadline.
         """
+        session, trail = execution.session, execution.trail
         wait_started_at = self._loop.time()
         try:
-            with session.steps.measure("connection"):
+            with execution.steps.measure("connection"):
                 link = await target.pool.acquire(
                     route.priority,
                     deadline,
@@ -185,7 +180,7 @@
                     session.values,
                 )
         except PoolClosed as exc:
-            session.trail.append(f"{target.id} unreachable: {exc}")
+            trail.append(f"{target.id} unreachable: {exc}")
             return None
         except TurnTooLate as exc:
             group.record_overload(target)
@@ -199,7 +194,7 @@
             ) from None
         if not target.takes_work(self._loop.time()):
             target.pool.release(link, pinned)
-            session.trail.append(f"{target.id} is leaving")
+            trail.append(f"{target.id} is leaving")
             return None
         link.urgency = Urgency.of(route, deadline)
         waited_s = self._loop.time() - wait_started_at
@@ -209,18 +204,15 @@
             except StatementError:
                 target.pool.release(link, pinned)
                 raise
-            session.trail.append(
-                f"waited {waited_s:.2f} s for a connection to {target.id}"
-            )
+            trail.append(f"waited {waited_s:.2f} s for a connection to {target.id}")
         return link
 
     async def exchange(
         self,
-        session: Session,
+        execution: Execution,
         group: Group,
         target: Target,
         link: TargetLink,
-        statement: Statement,
         deadline: float,
         min_position: Position | None = None,
         in_transaction: bool = False,
@@ -233,7 +225,8 @@
         `in_transaction`, a transaction of its own is opened and rolled back around it,
         on a link that runs nothing after a command that fails.
         """
-        preamble, name = session.preamble(link, statement, self._names)
+        statement, steps = execution.statement, execution.steps
+        preamble, name = execution.session.preamble(link, statement, self._names)
         commands: list[Command] = [Run(statement, min_position, name)]
         answer = None
         started = self._loop.time()
@@ -241,18 +234,14 @@
         probe = self._schedule_probe(group, target)
         try:
             if preamble and not link.stops_at_failure:
-                with session.steps.measure("settings"):
+                with steps.measure("settings"):
                     answer = await self._apply_settings(link, preamble, deadline)
             else:
                 commands = [*preamble, *commands]
             if answer is None:
-                session.sent = True
-                with session.steps.measure("target"):
+                with execution.attempt() as attempt, steps.measure("target"):
                     answer = await self._send(link, commands, deadline, in_transaction)
-            session.sent = answer.failure not in NOT_RUN
-        except TargetLost as exc:
-            session.sent = exc.sent
-            raise
+                    attempt.record_answer(answer)
         finally:
             target.outstanding -= 1
             probe.cancel()
@@ -262,7 +251,7 @@
             outcome = "session state refused"
         took_ms = round(1000 * (now - started))
         via = f" via {link.via}" if link.via else ""
-        session.trail.append(f"{target.id}{via} {outcome} after {took_ms} ms")
+        execution.trail.append(f"{target.id}{via} {outcome} after {took_ms} ms")
         self._metrics.inc(
             "target_answers_total", service=group.service, outcome=outcome
         )
--- a/src/rosemaryridge/core/_session.py
+++ b/src/rosemaryridge/core/_session.py
@@ -11,7 +11,6 @@
 from rosemaryridge.core._statement import TargetLost
 from rosemaryridge.core._statement import TransactionState
 from rosemaryridge.core._statement import Verb
-from rosemaryridge.core._steps import StepTimes
 from rosemaryridge.core.businesses import ANONYMOUS
 from rosemaryridge.core.commands import Command
 from rosemaryridge.core.commands import Prepare
@@ -55,11 +54,6 @@
         self.business = ANONYMOUS
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[bytes, Statement] = {}
-        # Events of the current statement, for its log line.
-        self.trail: list[str] = []
-        self.steps = StepTimes()
-        # Whether the current statement is at a target, or has run there.
-        self.sent = False
         # Log position of the session's last acknowledged commit.
         self.last_commit: Position = ORIGIN
         # Time of its acknowledgement, on the clock of `boottime`.
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -6,14 +6,13 @@
 from rosemaryridge.core._boottime import boottime
 from rosemaryridge.core._config import Consistency
 from rosemaryridge.core._config import Route
+from rosemaryridge.core._execution import Execution
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._reader import Reader
 from rosemaryridge.core._runner import Runner
-from rosemaryridge.core._session import Session
 from rosemaryridge.core._statement import NOT_RUN
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
-from rosemaryridge.core._statement import Statement
 from rosemaryridge.core._statement import StatementError
 from rosemaryridge.core._statement import TargetLost
 from rosemaryridge.core._statement import TransactionState
@@ -28,13 +27,14 @@
     A failure before COMMIT is sent leaves no change, because a target rolls back a
     transaction whose connection ends. `idle_timeout_s` bounds the time without a
     statement. `admission` ends, or raises StatementError, before a connection is taken.
+    `execution` is that of BEGIN.
     """
 
     def __init__(
         self,
         runner: Runner,
         reader: Reader,
-        session: Session,
+        execution: Execution,
         route: Route,
         group: Group,
         read_only: bool,
@@ -46,7 +46,7 @@
         self._ended = False
         self._runner = runner
         self._reader = reader
-        self._session = session
+        self._begin_execution = execution
         self.route = self._route = route
         self._group = group
         self._any_target = read_only and route.consistency is not Consistency.PRIMARY
@@ -65,12 +65,12 @@
         )
         self._start_idle_timer()
 
-    async def run(self, statement: Statement) -> Answer:
+    async def run(self, execution: Execution) -> Answer:
         """Return a statement's answer; raise StatementError."""
         self._stop_idle_timer()
         deadline = self._loop.time() + self._route.timeout_s
         try:
-            answer = await self._run(statement, deadline)
+            answer = await self._run(execution, deadline)
         except StatementError:
             self.failed = True
             self._end()
@@ -82,11 +82,11 @@
         self._start_idle_timer()
         return answer
 
-    async def _run(self, statement: Statement, deadline: float) -> Answer:
-        target, link = await self._wait_until_open(deadline)
+    async def _run(self, execution: Execution, deadline: float) -> Answer:
+        target, link = await self._wait_until_open(execution, deadline)
         backoff = self._runner.backoff(deadline)
         while True:
-            answer = await self._exchange(target, link, statement, deadline)
+            answer = await self._exchange(target, link, execution, deadline)
             self._runner.apply_answer(self._group, target, link, answer)
             refused = answer.failure in NOT_RUN
             if not refused or answer.state is not TransactionState.OPEN:
@@ -96,12 +96,12 @@
             await backoff.pause(answer.detail)
 
     async def _exchange(
-        self, target: Target, link: TargetLink, statement: Statement, deadline: float
+        self, target: Target, link: TargetLink, execution: Execution, deadline: float
     ) -> Answer:
         link.urgency = Urgency.of(self._route, deadline)
         try:
             return await self._runner.exchange(
-                self._session, self._group, target, link, statement, deadline
+                execution, self._group, target, link, deadline
             )
         except TargetLost as exc:
             self._group.suspect(target)
@@ -111,7 +111,7 @@
                 Failure.ABORTED, f"{target.id} did not answer before the deadline", 0.1
             ) from None
 
-    async def commit(self, statement: Statement) -> Answer:
+    async def commit(self, execution: Execution) -> Answer:
         """Return COMMIT's answer; raise StatementError."""
         self._stop_idle_timer()
         if self.failed:
@@ -121,17 +121,17 @@
             )
         deadline = self._loop.time() + self._route.timeout_s
         try:
-            return await self._commit(statement, deadline)
+            return await self._commit(execution, deadline)
         except (StatementError, asyncio.CancelledError):
             self._end()
             raise
 
-    async def _commit(self, statement: Statement, deadline: float) -> Answer:
-        target, link = await self._wait_until_open(deadline)
+    async def _commit(self, execution: Execution, deadline: float) -> Answer:
+        target, link = await self._wait_until_open(execution, deadline)
         backoff = self._runner.backoff(deadline)
         while True:
             requested_at = boottime()
-            answer = await self._send_commit(target, link, statement, deadline)
+            answer = await self._send_commit(target, link, execution, deadline)
             if answer.failure not in NOT_RUN or (
                 answer.state is not TransactionState.OPEN
             ):
@@ -140,7 +140,7 @@
         self._target = self._link = None
         self._runner.release(self._group, target, link, answer, pinned=True)
         if answer.ok and not self._any_target:
-            with self._session.steps.measure("proof"):
+            with execution.steps.measure("proof"):
                 await self._runner.check_commit(self._group, target)
         self._record_commit(answer, target, requested_at)
         return answer.in_state(TransactionState.IDLE)
@@ -150,15 +150,15 @@
     ) -> None:
         if answer.ok and answer.position is not None and not self._any_target:
             self._group.record_primary(target, answer.position, requested_at)
-            self._session.record_commit(answer.position, boottime())
+            self._begin_execution.session.record_commit(answer.position, boottime())
 
     async def _send_commit(
-        self, target: Target, link: TargetLink, statement: Statement, deadline: float
+        self, target: Target, link: TargetLink, execution: Execution, deadline: float
     ) -> Answer:
         link.urgency = Urgency.of(self._route, deadline)
         try:
             return await self._runner.exchange(
-                self._session, self._group, target, link, statement, deadline
+                execution, self._group, target, link, deadline
             )
         except (TargetLost, TimeoutError) as exc:
             self._group.suspect(target)
@@ -200,19 +200,24 @@
             return
         self._runner.spawn(self._runner.roll_back(target, link, pinned=True))
 
-    async def _wait_until_open(self, deadline: float) -> tuple[Target, TargetLink]:
+    async def _wait_until_open(
+        self, execution: Execution, deadline: float
+    ) -> tuple[Target, TargetLink]:
         if self._timed_out:
             raise StatementError(
                 Failure.ABORTED, "the transaction exceeded the idle timeout"
             )
         try:
-            with self._session.steps.measure("begin"):
+            with execution.steps.measure("begin"):
                 async with asyncio.timeout_at(deadline):
                     await asyncio.shield(self._opening)
         except TimeoutError:
             raise StatementError(
                 Failure.BUSY, "no connection to a target was available in time", 0.2
             ) from None
+        finally:
+            execution.trail += self._begin_execution.trail
+            self._begin_execution.trail.clear()
         if self._target is None or self._link is None:
             raise StatementError(Failure.ABORTED, "the transaction has ended")
         return self._target, self._link
@@ -241,7 +246,7 @@
         requirement = None
         if self._any_target:
             requirement = await self._reader.read_requirement(
-                self._session, self._route, self._group, deadline
+                self._begin_execution, self._route, self._group, deadline
             )
             target = self._reader.choose_target(self._group, requirement, tried)
             if target is None:
@@ -252,14 +257,19 @@
         else:
             target = await self._group.wait_for_proven_primary(deadline)
         link = await self._runner.acquire_link(
-            self._session, self._group, target, self._route, deadline, pinned=True
+            self._begin_execution,
+            self._group,
+            target,
+            self._route,
+            deadline,
+            pinned=True,
         )
         if link is None:
             return None
         requested_at = boottime()
         try:
             answer = await self._runner.begin(
-                self._session,
+                self._begin_execution.session,
                 self._group,
                 target,
                 link,
--- /dev/null
+++ b/tests/test_execution.py
@@ -0,0 +1,162 @@
+"""Test that what outlives a statement changes nothing of a later one, without I/O."""
+
+import asyncio
+import random
+import types
+import unittest
+
+from rosemaryridge.core import Answer
+from rosemaryridge.core import Failure
+from rosemaryridge.core import Statement
+from rosemaryridge.core import TransactionState
+from rosemaryridge.core import Verb
+from rosemaryridge.core._caller import Caller
+from rosemaryridge.core._config import Consistency
+from rosemaryridge.core._config import Route
+from rosemaryridge.core._group import Group
+from rosemaryridge.core._metrics import MetricsRegistry
+from rosemaryridge.core._pool import Pool
+from rosemaryridge.core._reader import Reader
+from rosemaryridge.core._runner import Runner
+from rosemaryridge.core._session import PreparedNames
+from rosemaryridge.core._target import Target
+from rosemaryridge.core._target_info import TargetInfo
+from rosemaryridge.core.businesses import ANONYMOUS
+from rosemaryridge.core.commands import Begin
+from rosemaryridge.core.commands import Run
+from rosemaryridge.core.commands import SetValue
+from rosemaryridge.core.zones import Surroundings
+from rosemaryridge.model import Endpoint
+from rosemaryridge.model import Position
+from rosemaryridge_testbed.schedules._loop import run_virtually
+from tests.test_core_decisions import StubLog
+
+_ROUTE = Route(b"db", "books", Consistency.SESSION, 3.0, 1.0, 1, 2.5)
+
+
+class ScriptedLink:
+    """Answer each command with success, but nothing that the target loses."""
+
+    via = ""
+    stops_at_failure = False
+
+    def __init__(self, proxy):
+        self.business = ""
+        self.values = {}
+        self.prepared = set()
+        self.closed = False
+        self.busy = False
+        self.state = TransactionState.IDLE
+        self._proxy = proxy
+
+    def send(self, *batch):
+        return [self._answer(command) for command in batch]
+
+    def _answer(self, command):
+        fut = asyncio.get_running_loop().create_future()
+        if isinstance(command, Begin):
+            self.state = TransactionState.OPEN
+        elif not isinstance(command, Run | SetValue):
+            self.state = TransactionState.IDLE
+        if not self._proxy.loses(command):
+            fut.set_result(Answer(state=self.state, position=Position(1, 9)))
+        return fut
+
+    def close(self):
+        self.closed = True
+
+
+class StubProxy:
+    """Serve callers from three targets; `loses` tells which answers never come."""
+
+    shutdown = None
+
+    def __init__(self):
+        self.loses = lambda command: False
+        self.log = StubLog()
+        self.executions = []
+        self.config = types.SimpleNamespace(
+            current=types.SimpleNamespace(transaction_idle_s=9.0)
+        )
+        rng = random.Random(3)
+        self.group = Group("books", self.log, lambda group: None)
+        for name in ("t1", "t2", "t3"):
+            info = TargetInfo(name, "books", Endpoint("127.0.0.1", 1), "a", 2, 1)
+            pool = Pool(info, 4, self._connect, lambda: None, lambda exc: None, rng)
+            self.group.targets[name] = Target(info, pool)
+        self.group.primary = "t1"
+        self.group.fetch_min_position = self._fetch_min_position
+        self.group.probe_primary = self._probe_primary
+        self.runner = Runner(rng, PreparedNames(), self.log, MetricsRegistry())
+        surroundings = Surroundings("a", {"a": "r"})
+        self.reader = Reader(self.runner, surroundings, MetricsRegistry(), rng)
+
+    async def _connect(self, info, timeout_s, business):
+        return ScriptedLink(self)
+
+    async def _fetch_min_position(self, max_age_s, deadline):
+        return Position(1, 1), 1.0
+
+    async def _probe_primary(self, target):
+        return None
+
+    def route(self, database):
+        return _ROUTE, self.group
+
+    def find_business(self, database, key):
+        return ANONYMOUS
+
+    def authorize(self, session):
+        session.business = ANONYMOUS
+
+    async def admit(self, session, route, statement):
+        pass
+
+    def record_statement(self, *args):
+        self.executions.append(args)
+
+
+def statement(verb, text, **fields):
+    return Statement(b"1", verb, text, **fields)
+
+
+class LateAttemptTest(unittest.TestCase):
+    """Guard against attempts that change statements after their own."""
+
+    async def _lose_a_commit_beside_a_late_read(self):
+        """Return a COMMIT's answer; its proxy ends as an earlier read gives up."""
+        proxy = StubProxy()
+        caller = Caller(proxy, b"db", b"")
+        await caller.serve(statement(Verb.SET, b"SET desk 7", name=b"desk", rest=b"7"))
+        lost = []
+
+        def lose_the_first_value(command):
+            if isinstance(command, SetValue) and not lost:
+                lost.append(command)
+                return True
+            return False
+
+        proxy.loses = lose_the_first_value
+        read = await caller.serve(statement(Verb.READ, b"READ 1", read_only=True))
+        self.assertTrue(read.ok)
+        for verb, text in ((Verb.BEGIN, b"BEGIN"), (Verb.WRITE, b"WRITE 1 a")):
+            self.assertTrue((await caller.serve(statement(verb, text))).ok)
+        await asyncio.sleep(2.5)
+        proxy.loses = lambda command: (
+            isinstance(command, Run) and command.statement.verb is Verb.COMMIT
+        )
+        commit = asyncio.create_task(caller.serve(statement(Verb.COMMIT, b"COMMIT")))
+        # The read's first attempt gives up 5 s after it was sent.
+        await asyncio.sleep(2.8)
+        self.assertTrue(caller.end_statement())
+        return await commit, proxy
+
+    def test_a_commit_at_its_target_is_not_answered_as_aborted(self):
+        # A committed transaction was answered as aborted as its proxy ended: the late
+        # attempt had recorded that "the" statement was not sent.
+        answer, _ = run_virtually(self._lose_a_commit_beside_a_late_read)
+        self.assertIs(answer.failure, Failure.UNKNOWN_OUTCOME)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_retry_loops.py
+++ b/tests/test_retry_loops.py
@@ -11,6 +11,7 @@
 from rosemaryridge.core import Verb
 from rosemaryridge.core._config import Consistency
 from rosemaryridge.core._config import Route
+from rosemaryridge.core._execution import Execution
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._metrics import MetricsRegistry
 from rosemaryridge.core._pool import Pool
@@ -148,7 +149,7 @@
         self.check(
             Consistency.PRIMARY,
             lambda world, session, route: world.runner.write(
-                session, route, world.group, statement
+                Execution(session, statement), route, world.group
             ),
         )
 
@@ -158,7 +159,7 @@
             self.check(
                 consistency,
                 lambda world, session, route: world.reader.read(
-                    session, route, world.group, statement
+                    Execution(session, statement), route, world.group
                 ),
             )
 
@@ -171,17 +172,18 @@
             async def admit():
                 pass
 
+            begin = Statement(b"0", Verb.BEGIN, b"BEGIN READ", read_only=True)
             transaction = Transaction(
                 world.runner,
                 world.reader,
-                session,
+                Execution(session, begin),
                 route,
                 world.group,
                 True,
                 9,
                 admit(),
             )
-            await transaction.run(statement)
+            await transaction.run(Execution(session, statement))
 
         for consistency in Consistency:
             self.check(consistency, serve)
