Take no COMMIT that wrote nothing for a proof of lead

Cause: a deposed primary commits a transaction that wrote nothing; its answer was recorded as a confirmation of the lead, and the successor's positions were forgotten. Change: only the COMMIT of a transaction that has written is recorded.

--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -43,6 +43,7 @@
     ):
         # Whether a failure of the transaction was reported to the caller.
         self.failed = False
+        self._has_written = False
         self._ended = False
         self._runner = runner
         self._reader = reader
@@ -79,6 +80,8 @@
             self.failed = True
             self._end()
             return answer.in_state(TransactionState.FAILED)
+        if answer.ok and not execution.session.is_read(execution.statement):
+            self._has_written = True
         self._start_idle_timer()
         return answer
 
@@ -148,7 +151,8 @@
     def _record_commit(
         self, answer: Answer, target: Target, requested_at: float
     ) -> None:
-        if answer.ok and answer.position is not None and not self._any_target:
+        # A deposed primary still commits a transaction that wrote nothing.
+        if answer.ok and answer.position is not None and self._has_written:
             self._group.record_primary(target, answer.position, requested_at)
             self._begin_execution.session.record_commit(answer.position, boottime())
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -31,16 +31,14 @@
 from rosemaryridge_testbed.schedules._loop import run_virtually
 from tests.test_core_decisions import StubLog
 
-_ROUTE = Route(b"db", "books", Consistency.SESSION, 3.0, 1.0, 1, 2.5)
-
 
 class ScriptedLink:
     """Answer each command with success, but nothing that the target loses."""
 
     via = ""
-    stops_at_failure = False
 
     def __init__(self, proxy):
+        self.stops_at_failure = proxy.stops_at_failure
         self.business = ""
         self.values = {}
         self.prepared = set()
@@ -59,7 +57,8 @@
         elif not isinstance(command, Run | SetValue):
             self.state = TransactionState.IDLE
         if not self._proxy.loses(command):
-            fut.set_result(Answer(state=self.state, position=Position(1, 9)))
+            failure = self._proxy.failure
+            fut.set_result(Answer((), b"", failure, "", self.state, Position(1, 9)))
         return fut
 
     def close(self):
@@ -70,6 +69,10 @@
     """Serve callers from three targets; `loses` tells which answers never come."""
 
     shutdown = None
+    consistency = Consistency.SESSION
+    # Of the links that are opened, and of each answer.
+    stops_at_failure = False
+    failure = None
 
     def __init__(self):
         self.loses = lambda command: False
@@ -101,7 +104,8 @@
         return None
 
     def route(self, database):
-        return _ROUTE, self.group
+        route = Route(b"db", "books", self.consistency, 3.0, 1.0, 1, 2.5)
+        return route, self.group
 
     def find_business(self, database, key):
         return ANONYMOUS
@@ -158,5 +162,36 @@
         self.assertIs(answer.failure, Failure.UNKNOWN_OUTCOME)
 
 
+class ProofOfLeadTest(unittest.TestCase):
+    """Guard against answers of a deposed primary that are taken for a proof of lead."""
+
+    def _primary_after_commit(self, verb, text):
+        """Return who leads once "t1" has committed after "t2" was found to lead."""
+
+        async def run():
+            proxy = StubProxy()
+            caller = Caller(proxy, b"db", b"")
+            await caller.serve(statement(Verb.BEGIN, b"BEGIN"))
+            read_only = verb is Verb.READ
+            await caller.serve(statement(verb, text, read_only=read_only))
+            successor = proxy.group.targets["t2"]
+            await asyncio.sleep(1.0)
+            now = asyncio.get_running_loop().time()
+            proxy.group.record_primary(successor, Position(1, 20), now)
+            await asyncio.sleep(1.0)
+            answer = await caller.serve(statement(Verb.COMMIT, b"COMMIT"))
+            self.assertTrue(answer.ok)
+            return proxy.group.primary
+
+        return run_virtually(run)
+
+    def test_a_commit_that_wrote_nothing_proves_nothing(self):
+        # A proxy went back to a deposed primary, and its reads became stale.
+        self.assertEqual(self._primary_after_commit(Verb.READ, b"READ 1"), "t2")
+
+    def test_a_commit_that_wrote_proves_the_lead(self):
+        self.assertEqual(self._primary_after_commit(Verb.WRITE, b"WRITE 1 a"), "t1")
+
+
 if __name__ == "__main__":
     unittest.main()
