Take no failed BEGIN of an owner for a proof of lead

Cause: an owner answers all steps of a batch with the failure of its first; for a read behind a BEGIN that failed, other than by a refusal, the target was recorded as the primary. Change: only a read that was done is recorded. Evidence: test_a_begin_that_failed_at_an_owner_proves_nothing fails before, passes here.

--- a/src/rosemaryridge/core/_reader.py
+++ b/src/rosemaryridge/core/_reader.py
@@ -134,7 +134,8 @@
             self._runner.spawn(self._runner.roll_back(target, link))
         if at_once and answer.failure in NOT_RUN:
             return answer
-        if at_once:
+        if at_once and answer.ok:
+            # A failure may be that of BEGIN, which an owner answers for the read too.
             group.record_primary(target, answer.position, requested_at)
         with execution.steps.measure("proof"):
             is_proven = await group.confirm_primary(target, requested_at)
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -192,6 +192,20 @@
     def test_a_commit_that_wrote_proves_the_lead(self):
         self.assertEqual(self._primary_after_commit(Verb.WRITE, b"WRITE 1 a"), "t1")
 
+    def test_a_begin_that_failed_at_an_owner_proves_nothing(self):
+        # An owner answers the read with the failure of the BEGIN before it.
+        async def run():
+            proxy = StubProxy()
+            caller = Caller(proxy, b"db", b"")
+            proxy.consistency = Consistency.PRIMARY
+            proxy.stops_at_failure = True
+            proxy.failure = Failure.FAILED
+            answer = await caller.serve(statement(Verb.READ, b"READ 1", read_only=True))
+            self.assertIs(answer.failure, Failure.FAILED)
+            return proxy.group._history.newest_time()
+
+        self.assertEqual(run_virtually(run), float("-inf"))
+
 
 if __name__ == "__main__":
     unittest.main()
