Date the answer to STEPDOWN by its request

Cause: a target that answered STEPDOWN as a primary was adopted as of the answer's arrival, also over a primary that was found since the request. Change: it counts from its request, as other proofs do. Evidence: test_a_late_answer_to_a_step_down_deposes_no_newer_primary fails before, passes here.

--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -188,7 +188,7 @@
             self._spawn(self._step_down(target))
 
     async def _step_down(self, target: Target) -> None:
-        term = self._leadership.step_down_term
+        term, requested_at = self._leadership.step_down_term, boottime()
         condition = await request_condition(
             target, lambda link: link.step_down(term), _STEP_DOWN_TIMEOUT_S
         )
@@ -205,9 +205,12 @@
         if not condition.primary:
             # A search for the primary starts if this was the one.
             self.record_not_primary(target)
-        elif self.targets.get(target.id) is target:
+        elif (
+            self.targets.get(target.id) is target
+            and requested_at >= self._confirmation_requested_at
+        ):
             # It leads a later term: the known claims are outdated.
-            self._confirmation_requested_at = boottime()
+            self._confirmation_requested_at = requested_at
             self._adopt_primary(target, condition.term)
 
     def record_primary_registration(self, target: Target) -> None:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -252,6 +252,19 @@
         for task in group._tasks:
             task.cancel()
 
+    async def test_a_late_answer_to_a_step_down_deposes_no_newer_primary(self):
+        group = self.proven_group("a", "b")
+        group.record_primary(group.targets["b"], Position(1, 5), boottime())
+
+        async def step_down(target, ask, timeout_s):
+            # "b" is found to lead while the answer of "a" is on its way.
+            group.record_primary(group.targets["b"], Position(3, 1), boottime())
+            return condition((2, 9), primary=True, term=2)
+
+        with mock.patch("rosemaryridge.core._group.request_condition", step_down):
+            await group._step_down(group.targets["a"])
+        self.assertEqual(group.primary, "b")
+
     async def test_an_unproven_primary_is_refused_at_once(self):
         group = self.proven_group("a", "b")
         self.store.error = StoreUnavailable("away")
