Promote whoever may alone hold acknowledged commits

Cause: draining targets were never promoted, and what they had received was not compared; the configuration's sync_replicas was not read. Change: a group knows its synchronous replicas. Where a service has them, the target that has received most is promoted, also a draining one; each target that may alone hold a commit is awaited for 12 s; a working primary steps down only once a replica that stays has its whole log. Without them nothing changes.

--- a/src/rosemaryridge/core/_config.py
+++ b/src/rosemaryridge/core/_config.py
@@ -45,7 +45,8 @@
 class FleetConfig:
     """Hold one version of the operator's configuration.
 
-    `connection_limits` maps a service to the connections that each target accepts.
+    `connection_limits` maps a service to the connections that each target accepts,
+    `sync_replicas` to the replicas that receive a commit before it is acknowledged.
     Without businesses, callers need no key.
     """
 
@@ -54,6 +55,7 @@
     connection_limits: t.Mapping[str, int]
     transaction_idle_s: float
     key_ring: KeyRing = KeyRing()
+    sync_replicas: t.Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +70,7 @@
     connection_limits: tuple[tuple[str, int], ...]
     transaction_idle_s: float
     businesses: tuple[tuple[Business, tuple[str, ...]], ...]
+    sync_replicas: tuple[tuple[str, int], ...] = ()
 
     def build(self) -> FleetConfig:
         """Return the configuration that proxies use; the last duplicate holds."""
@@ -77,6 +80,7 @@
             types.MappingProxyType(dict(self.connection_limits)),
             self.transaction_idle_s,
             KeyRing(self.businesses),
+            types.MappingProxyType(dict(self.sync_replicas)),
         )
 
 
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -31,6 +31,8 @@
 _MAX_REMOVED = 256
 # Connections to a target until the connection limit of its service is known.
 _DEFAULT_LIMIT = 1
+# Commits count as held by a replica until the configuration tells otherwise.
+_DEFAULT_SYNC_REPLICAS = 1
 # Links to the owner of a target, which hold no connection while they are idle.
 _MAX_OWNED_LINKS = 256
 
@@ -62,6 +64,8 @@
         self._shares = shares
         self._rng = rng
         self._limits: t.Mapping[str, int] = {}
+        # None until a configuration is known.
+        self._sync_replicas: t.Mapping[str, int] | None = None
         # Returns whether a target is reached through its owner; set where proxies may
         # be many for the connections of a target.
         self.is_owned: t.Callable[[TargetInfo], bool] = lambda info: False
@@ -77,6 +81,7 @@
         if found is None:
             found = Group(service, self._log, self._on_suspect)
             found.request_position = self.request_position
+            found.sync_replicas = self._sync_replicas_of(service)
             if self.claims is not None:
                 found.require_proof(self.claims)
             self.groups[service] = found
@@ -109,15 +114,23 @@
         for group in self.groups.values():
             group.set_cut_off(cut_off)
 
-    def adopt_limits(self, config: FleetConfig) -> None:
-        """Apply the connection limits of a configuration."""
+    def adopt_services(self, config: FleetConfig) -> None:
+        """Apply what a configuration says of the services."""
         known, self._limits = self._limits, config.connection_limits
+        self._sync_replicas = config.sync_replicas
+        for group in self.groups.values():
+            group.sync_replicas = self._sync_replicas_of(group.service)
         self.resize_pools()
         for group in self.groups.values():
             if group.service not in known:
                 for target in group.targets.values():
                     self._warm(target)
 
+    def _sync_replicas_of(self, service: str) -> int:
+        if self._sync_replicas is None:
+            return _DEFAULT_SYNC_REPLICAS
+        return self._sync_replicas.get(service, 0)
+
     def resize_pools(self) -> None:
         """Resize the connection pools to this proxy's current share."""
         for group in self.groups.values():
@@ -233,6 +246,7 @@
             return
         if self._loop.time() - target.removed_at < _REMOVAL_GRACE_S - 0.01:
             return
+        group.departed.add(target.id)
         self._remove_now(group, target, "its registration is gone from the store")
 
     def _remove_now(self, group: Group, target: Target, reason: str) -> None:
@@ -270,6 +284,7 @@
         )
         target = Target(info, pool)
         group.targets[info.id] = target
+        group.departed.discard(info.id)
         self._log.write(
             "target_added",
             service=info.service,
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -10,6 +10,7 @@
 from rosemaryridge.core._event_log import EventLog
 from rosemaryridge.core._group import PROBE_TIMEOUT_S
 from rosemaryridge.core._group import Group
+from rosemaryridge.core._holders import silent_replicas
 from rosemaryridge.core._shares import Shares
 from rosemaryridge.core._statement import TargetCondition
 from rosemaryridge.core._successor import AMBIGUOUS_REASONS
@@ -51,6 +52,9 @@
 # A promotion waits this long for the conditions of all targets but one. The entry of
 # a dead target expires from the store after three heartbeats of 1.2 s.
 _CONDITIONS_WAIT_S = 4.0
+# With synchronous replicas, a promotion waits this long for each target that may alone
+# hold acknowledged commits: the platform's bound for a recovery.
+_HOLDERS_WAIT_S = 12.0
 # Time from the promotion order until the target must answer as the primary.
 _PROMOTION_TIMEOUT_S = 3.0
 _POLL_S = 0.06
@@ -155,7 +159,8 @@
                 await asyncio.sleep(_POLL_S)
                 continue
             try:
-                if await self._replace(group, reason, waited_s > _CONDITIONS_WAIT_S):
+                wait_s = _HOLDERS_WAIT_S if group.sync_replicas else _CONDITIONS_WAIT_S
+                if await self._replace(group, reason, waited_s > wait_s):
                     return
             except StoreError as exc:
                 self._log_not_promoted(
@@ -176,7 +181,9 @@
         if self._is_blocked_by(group, claim, revision):
             return False
         conditions = await self._fetch_conditions(group)
-        if reason in AMBIGUOUS_REASONS:
+        # A draining primary may be silent to this proxy only.
+        is_ambiguous = group.sync_replicas and _is_silent(old)
+        if reason in AMBIGUOUS_REASONS or is_ambiguous:
             conditions = await self._conditions_if_dead(group, conditions)
         if not conditions or old is not group.primary_target:
             return False
@@ -188,6 +195,14 @@
             )
             group.record_replica_up_to_date()
             return True
+        is_planned = old is not None and reason in PLANNED_REASONS
+        complete: Target | None = None
+        if is_planned and group.sync_replicas and old.is_responsive:
+            complete = await self._find_complete(group, old)
+            if complete is None:
+                return False
+            # It has all that the primary acknowledged, whatever others have.
+            accept_partial = True
         decision = choose_successor(group, claim, conditions, accept_partial)
         if decision.target is not None:
             claim, revision = await self._read_claim(group)
@@ -200,11 +215,12 @@
             if decision.primary is not None:
                 await group.probe_primary(decision.primary)
             return False
+        successor = complete or decision.target
         new_claim = Claim(
             next_fence(claim.fence, era),
             self._vm,
             max([group.term, *(cond.term for cond in conditions.values())]),
-            decision.target.id,
+            successor.id,
             old.id if old else claim.target,
         )
         claimed_at = boottime()
@@ -212,8 +228,8 @@
         if not revision or self._era.current != era:
             return False
         self._log_order(group, reason, new_claim, conditions)
-        successor, due_at = decision.target, boottime() + self._order_delay_s
-        if old is not None and reason in PLANNED_REASONS:
+        due_at = boottime() + self._order_delay_s
+        if is_planned:
             step_down = await self._step_down(group, old, successor, new_claim.term)
             if step_down.done:
                 due_at = boottime()
@@ -225,7 +241,7 @@
                 if not await self._put_claim(group, new_claim, revision):
                     return False
             if not step_down.done and successor is old:
-                return True
+                return not old.draining
         elif leader_has_denied(group, claim, conditions):
             due_at = boottime()
         elif self._order_delay_s:
@@ -294,8 +310,9 @@
         That is the successor, or another replica, once it has received the whole log,
         and the old primary if none catches up in time or if the primary did not step
         down. A draining primary is replaced in any case, by the one that has received
-        most.
+        most, unless a silent synchronous replica may have received more.
         """
+
         last = await request_condition(
             old, lambda link: link.step_down(term + 1), _STEP_DOWN_TIMEOUT_S
         )
@@ -303,7 +320,8 @@
             self._log_not_promoted(
                 group, None, f"primary {old.id} did not step down in time"
             )
-            return _StepDown(False, successor if old.draining else old)
+            works = group.sync_replicas and old.is_responsive
+            return _StepDown(False, successor if old.draining and not works else old)
         loop = asyncio.get_running_loop()
         until = loop.time() + _CATCH_UP_TIMEOUT_S
         while loop.time() < until:
@@ -323,7 +341,28 @@
             f"no replica received position {last.received} in time; {successor.id} "
             "received most",
         )
-        return _StepDown(True, successor if old.draining else old)
+        is_behind = group.sync_replicas and silent_replicas(group, old.id, conditions)
+        return _StepDown(True, successor if old.draining and not is_behind else old)
+
+    async def _find_complete(self, group: Group, primary: Target) -> Target | None:
+        """Return a replica that stays and has received the primary's log, if any."""
+        loop = asyncio.get_running_loop()
+        condition = await self._fetch_condition(primary)
+        if condition is None:
+            return None
+        until = loop.time() + _CATCH_UP_TIMEOUT_S
+        while loop.time() < until:
+            conditions = await self._fetch_conditions(group)
+            for name, other in conditions.items():
+                target = group.targets.get(name)
+                stays = target is not None and target.stays and target is not primary
+                if stays and other.received >= condition.received:
+                    return target
+            await asyncio.sleep(_POLL_S)
+        self._log_not_promoted(
+            group, None, f"no replica that stays received position {condition.received}"
+        )
+        return None
 
     async def _conditions_if_dead(
         self, group: Group, before: dict[str, TargetCondition]
@@ -456,5 +495,14 @@
         )
 
 
+def _is_silent(target: Target | None) -> bool:
+    """Return whether a target does not answer, though nothing refuses connections."""
+    return (
+        target is not None
+        and target.unresponsive_since is not None
+        and target.refused_at is None
+    )
+
+
 def _lags(conditions: t.Mapping[str, TargetCondition]) -> dict[str, float]:
     return {name: round(cond.lag_s, 2) for name, cond in conditions.items()}
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -59,6 +59,11 @@
     ):
         self.service = service
         self.targets: dict[str, Target] = {}
+        # Replicas that receive a commit before it is acknowledged.
+        self.sync_replicas = 0
+        # Ids of targets whose entries have gone since the primary was last confirmed.
+        # They may hold commits that it acknowledged.
+        self.departed: set[str] = set()
         self.primary: str | None = None
         # The term of the primary's newest known position.
         self.term = 0
@@ -165,6 +170,7 @@
             self._confirmation_requested_at, requested_at
         )
         self.term = max(self.term, position.term)
+        self.departed.clear()
         self._unproven.append((position, requested_at))
         self._observe_proven()
         target.applied = max(target.applied, position)
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -94,7 +94,7 @@
         )
         for problem in config.key_ring.problems:
             self.log.write("business_unusable", reason=problem)
-        self.directory.adopt_limits(config)
+        self.directory.adopt_services(config)
         self.check_ready()
 
     def check_ready(self) -> None:
--- a/src/rosemaryridge/core/_successor.py
+++ b/src/rosemaryridge/core/_successor.py
@@ -5,6 +5,9 @@
 import typing as t
 
 from rosemaryridge.core._group import Group
+from rosemaryridge.core._holders import last_leaders
+from rosemaryridge.core._holders import more_advanced
+from rosemaryridge.core._holders import reason_to_await_holders
 from rosemaryridge.core._overload import MIN_PROMOTION_LAG_S
 from rosemaryridge.core._statement import TargetCondition
 from rosemaryridge.core._target import Target
@@ -86,9 +89,10 @@
     """Choose the target to promote.
 
     Guards against a proxy whose view is outdated or partial. All targets but one must
-    have reported their conditions, unless `accept_partial` is set after a wait. A
-    deposed primary whose log was left behind by a promotion is never chosen, or
-    commits of the current log would be rolled back.
+    have reported their conditions, unless `accept_partial` is set after a wait; with
+    synchronous replicas that one must be the former primary, and a draining target that
+    has received most is chosen. A deposed primary whose log was left behind by a
+    promotion is never chosen, or commits of the current log would be rolled back.
     """
     newest_term = max((cond.term for cond in conditions.values()), default=0)
     for name, condition in conditions.items():
@@ -104,30 +108,49 @@
         return PromotionDecision(
             why=f"{promoted.id} has been promoted already", primary=promoted
         )
-    if not accept_partial and len(conditions) < len(group.targets) - 1:
-        answered = f"{len(conditions)} of {len(group.targets)}"
-        return PromotionDecision(
-            why=f"only {answered} targets reported their condition"
-        )
-    eligible = [
-        tgt for tgt in group.targets.values() if _is_eligible(tgt, group, conditions)
-    ]
+    why = "" if accept_partial else _reason_to_await(group, claim, conditions)
+    if why:
+        return PromotionDecision(why=why)
+    current = {
+        name: cond
+        for name, cond in conditions.items()
+        if not _is_left_behind(name, claim, conditions)
+    }
     eligible = [
         tgt
-        for tgt in eligible
-        if not _is_left_behind(tgt.id, claim, conditions)
-        and not conditions[tgt.id].primary
+        for tgt in group.targets.values()
+        if _is_eligible(tgt, group, current) and not current[tgt.id].primary
     ]
     if promoted in eligible and newest_term <= claim.term:
         # The earlier order may still be carried out; another target would then be
         # deposed by it.
         return PromotionDecision(promoted)
     target = max(
-        eligible, key=lambda tgt: (conditions[tgt.id].received, tgt.id), default=None
-    )
-    return PromotionDecision(
-        target, "" if target else "no replica is eligible for promotion"
+        eligible,
+        key=lambda tgt: (conditions[tgt.id].received, not tgt.draining, tgt.id),
+        default=None,
     )
+    if target is None:
+        return PromotionDecision(why="no replica is eligible for promotion")
+    if group.sync_replicas and not accept_partial:
+        ahead = more_advanced(conditions[target.id], current)
+        if ahead:
+            return PromotionDecision(
+                why=f"{', '.join(ahead)} received more and cannot be promoted"
+            )
+    return PromotionDecision(target)
+
+
+def _reason_to_await(
+    group: Group, claim: Claim, conditions: t.Mapping[str, TargetCondition]
+) -> str:
+    """Return why more targets must report their conditions, "" if none must."""
+    if group.sync_replicas:
+        return reason_to_await_holders(group, claim, conditions)
+    if len(conditions) >= len(group.targets) - 1:
+        return ""
+    answered = f"{len(conditions)} of {len(group.targets)}"
+    return f"only {answered} targets reported their condition"
 
 
 def _was_promoted(
@@ -144,8 +167,11 @@
 def _is_eligible(
     target: Target, group: Group, conditions: t.Mapping[str, TargetCondition]
 ) -> bool:
-    is_present = target.id in conditions and target.removed_at is None
-    return is_present and target.id != group.primary and not target.draining
+    if target.id not in conditions or target.removed_at is not None:
+        return False
+    # A draining target may be the only one that has received the last commits.
+    may_lead = not target.draining or group.sync_replicas > 0
+    return target.id != group.primary and may_lead
 
 
 def choose_most_advanced(
@@ -163,7 +189,11 @@
     ]
     return max(
         candidates,
-        key=lambda tgt: (conditions[tgt.id].received, tgt is successor),
+        key=lambda tgt: (
+            conditions[tgt.id].received,
+            not tgt.draining,
+            tgt is successor,
+        ),
         default=successor,
     )
 
@@ -181,21 +211,12 @@
     """Return whether the target that led last is shown not to lead any more.
 
     Other proxies may hold leases on a primary that this one's list lacks, as its entry
-    has gone. Without a claim, the first primary leads.
+    has gone.
     """
     if not nobody_leads(group, conditions):
         return False
-    newest_term = max(cond.term for cond in conditions.values())
-    if claim.fence == 0:
-        leaders = {group.last_primary}
-    elif newest_term <= claim.term:
-        # The order of the claim may have been lost.
-        leaders = {claim.target, claim.deposed}
-    elif newest_term == claim.term + 1:
-        leaders = {claim.target}
-    else:
-        return False
-    return leaders <= conditions.keys()
+    leaders = last_leaders(group, claim, conditions)
+    return bool(leaders) and leaders <= conditions.keys()
 
 
 def _is_left_behind(
--- a/src/rosemaryridge/core/_target.py
+++ b/src/rosemaryridge/core/_target.py
@@ -55,6 +55,16 @@
         """Return the target's id."""
         return self.info.id
 
+    @property
+    def stays(self) -> bool:
+        """Return whether the target is registered and not about to leave."""
+        return self.removed_at is None and not self.draining
+
+    @property
+    def is_responsive(self) -> bool:
+        """Return whether the target answers and its address takes connections."""
+        return self.unresponsive_since is None and self.refused_at is None
+
     def takes_work(self, now: float) -> bool:
         """Return whether a statement or transaction may still be sent to it."""
         return now < self.drain_ends_at
--- a/src/rosemaryridge/platform/config_fields.py
+++ b/src/rosemaryridge/platform/config_fields.py
@@ -41,6 +41,7 @@
     ("name", "max_conns"),
     ("health_path", "protocol", "tls", "sync_replicas"),
     ("max_conns",),
+    ("sync_replicas",),
 )
 _BUSINESS = _Element(
     documents.decode_business,
--- a/src/rosemaryridge/platform/documents.py
+++ b/src/rosemaryridge/platform/documents.py
@@ -53,6 +53,7 @@
             tuple(map(decode_connection_limit, spec["services"])),
             decode_transaction_idle_s(spec["limits"]),
             tuple(map(decode_business, spec.get("tenants") or ())),
+            tuple(map(decode_sync_replicas, spec["services"])),
         )
     except DECODE_ERRORS as exc:
         raise UnreadableDocument(f"invalid config: {exc!r}") from exc
@@ -78,6 +79,11 @@
     return service["name"], int(service["max_conns"])
 
 
+def decode_sync_replicas(service: t.Mapping[str, t.Any]) -> tuple[str, int]:
+    """Return a service and its synchronous replicas; raise one of DECODE_ERRORS."""
+    return service["name"], int(_require_amount(service.get("sync_replicas") or 0))
+
+
 def decode_transaction_idle_s(limits: t.Mapping[str, t.Any]) -> float:
     """Return how long transactions may rest; raise one of DECODE_ERRORS."""
     return float(limits["tx_idle_ms"]) / 1000.0
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,209 @@
+"""Test whom a failover promotes, with the store, orders and targets as stubs."""
+
+import random
+import types
+import unittest
+from unittest import mock
+
+from rosemaryridge.core import Shares
+from rosemaryridge.core._failover import Failover
+from rosemaryridge.core._group import Group
+from rosemaryridge.core._pool import Pool
+from rosemaryridge.core._successor import Reason
+from rosemaryridge.core._target import Target
+from rosemaryridge.exceptions import StoreUnavailable
+from rosemaryridge_testbed.schedules._loop import run_virtually
+from tests.test_core_decisions import StubLog
+from tests.test_core_decisions import condition
+from tests.test_core_decisions import connect
+from tests.test_core_decisions import info
+
+
+class StubPlatform:
+    """Store claims and take orders; while `refuses` is set, no order is done."""
+
+    def __init__(self):
+        self.claim = None
+        self.revision = 0
+        self.ordered = []
+        self.refuses = False
+
+    async def get(self, kind, name, stale=False):
+        return types.SimpleNamespace(spec=self.claim, revision=self.revision)
+
+    async def put(self, kind, name, spec, revision):
+        self.claim, self.revision = spec, self.revision + 1
+        return self.revision
+
+    async def promote(self, service, target, fence, may_send):
+        if self.refuses:
+            raise StoreUnavailable("503")
+        self.ordered.append(target)
+
+
+class Fleet:
+    """Hold a group of three targets and the failover of one proxy; "a" led it."""
+
+    def __init__(self, sync_replicas=1, deposed_go_on=False):
+        self.platform = StubPlatform()
+        self.log = StubLog()
+        rng = random.Random(5)
+        self.group = Group("books", self.log, lambda group: None)
+        self.group.sync_replicas = sync_replicas
+        # By target: what it reports; those that are missing are silent.
+        self.conditions = {}
+        for name in "abc":
+            pool = Pool(info(name), 4, connect, lambda: None, lambda exc: None, rng)
+            self.group.targets[name] = Target(info(name), pool)
+        self.group.primary = self.group.last_primary = "a"
+        self.group.term = 1
+        self.group.probe_primary = self._probe
+        self.failover = Failover(
+            "vm",
+            self.platform,
+            self.platform,
+            Shares(),
+            self.log,
+            rng,
+            deposed_go_on,
+        )
+        self.failover._fetch_condition = self._fetch
+
+    def report(self, **received):
+        """Set what the targets report to have received; others are silent."""
+        self.conditions = {name: condition(pos) for name, pos in received.items()}
+
+    async def replace(self, reason=Reason.REFUSED, accept_partial=False):
+        """Replace the primary; return the targets that were ordered so far."""
+        await self.failover._replace(self.group, reason, accept_partial)
+        return self.platform.ordered
+
+    def why(self):
+        """Return why no promotion was ordered last."""
+        held = [
+            fields for event, fields in self.log.events if event == "promotion_held"
+        ]
+        return held[-1]["why"] if held else ""
+
+    async def _fetch(self, target):
+        return self.conditions.get(target.id)
+
+    async def _probe(self, target):
+        return target.id in self.platform.ordered
+
+
+class SynchronousReplicaTest(unittest.TestCase):
+    """Guard against the loss of commits that one replica has received.
+
+    With `sync_replicas` 1 a commit is acknowledged once any replica has it.
+    """
+
+    def test_a_draining_replica_that_alone_has_commits_is_promoted(self):
+        # Some 50 acknowledged commits were lost: draining targets were passed over.
+        async def run():
+            fleet = Fleet()
+            fleet.group.targets["b"].draining = True
+            fleet.report(b=(1, 100), c=(1, 50))
+            return await fleet.replace()
+
+        self.assertEqual(run_virtually(run), ["b"])
+
+    def test_a_draining_replica_is_passed_over_if_another_has_as_much(self):
+        async def run():
+            fleet = Fleet()
+            fleet.group.targets["b"].draining = True
+            fleet.report(b=(1, 100), c=(1, 100))
+            return await fleet.replace()
+
+        self.assertEqual(run_virtually(run), ["c"])
+
+    def test_a_silent_replica_that_may_alone_have_commits_is_awaited(self):
+        # A replica that was dark beside the primary for 6 s was passed over after 4 s.
+        async def run():
+            fleet = Fleet()
+            fleet.report(c=(1, 50))
+            self.assertEqual(await fleet.replace(), [])
+            self.assertIn("b may hold acknowledged commits", fleet.why())
+            fleet.report(b=(1, 100), c=(1, 50))
+            return await fleet.replace()
+
+        self.assertEqual(run_virtually(run), ["b"])
+
+    def test_a_silent_replica_is_awaited_after_its_entry_has_gone(self):
+        async def run():
+            fleet = Fleet()
+            del fleet.group.targets["b"]
+            fleet.group.departed.add("b")
+            fleet.report(c=(1, 50))
+            self.assertEqual(await fleet.replace(), [])
+            return await fleet.replace(accept_partial=True)
+
+        self.assertEqual(run_virtually(run), ["c"])
+
+    def test_a_list_without_the_former_primary_is_not_complete(self):
+        # A proxy that has just started may lack other targets too.
+        async def run():
+            fleet = Fleet()
+            del fleet.group.targets["a"]
+            fleet.group.primary, fleet.group.last_primary = None, ""
+            fleet.report(b=(1, 50), c=(1, 50))
+            return await fleet.replace()
+
+        self.assertEqual(run_virtually(run), [])
+
+    def test_a_draining_primary_leads_on_while_no_replica_that_stays_has_all(self):
+        # The primary stepped down, and the replica that received nothing was promoted.
+        async def run():
+            fleet = Fleet()
+            for name in "ab":
+                fleet.group.targets[name].draining = True
+            fleet.report(a=(1, 100), b=(1, 100), c=(1, 50))
+            self.assertEqual(await fleet.replace(Reason.DRAINING), [])
+            self.assertIn("no replica that stays", fleet.why())
+            return fleet.platform.claim
+
+        self.assertIsNone(run_virtually(run))
+
+    def test_a_draining_primary_that_crashes_is_replaced_by_who_has_all(self):
+        async def no_answer(*args):
+            return None
+
+        async def run():
+            fleet = Fleet()
+            for name in "ab":
+                fleet.group.targets[name].draining = True
+            fleet.group.targets["a"].mark_unresponsive(0.0)
+            fleet.group.targets["a"].refused_at = 0.0
+            fleet.report(b=(1, 100), c=(1, 50))
+            return await fleet.replace(Reason.DRAINING)
+
+        with mock.patch("rosemaryridge.core._failover.request_condition", no_answer):
+            self.assertEqual(run_virtually(run), ["b"])
+
+    def test_a_silent_replica_does_not_hold_a_planned_replacement(self):
+        # The primary itself tells what it has acknowledged.
+        async def step_down(*args):
+            return condition((1, 100))
+
+        async def run():
+            fleet = Fleet()
+            fleet.group.targets["a"].draining = True
+            fleet.report(a=(1, 100), c=(1, 100))
+            return await fleet.replace(Reason.DRAINING)
+
+        with mock.patch("rosemaryridge.core._failover.request_condition", step_down):
+            self.assertEqual(run_virtually(run), ["c"])
+
+    def test_without_synchronous_replicas_a_draining_one_is_passed_over(self):
+        # Its promotion would be followed by another one at once.
+        async def run():
+            fleet = Fleet(sync_replicas=0)
+            fleet.group.targets["b"].draining = True
+            fleet.report(b=(1, 100), c=(1, 50))
+            return await fleet.replace()
+
+        self.assertEqual(run_virtually(run), ["c"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -289,16 +289,18 @@
 class PlannedReplacementTest(GroupCase):
     """Guard against commits that a planned replacement rolls back."""
 
-    async def replace(self, received, draining=True):
+    async def replace(self, received, draining=True, sync_replicas=0):
         """Return who leads once "a" has stepped down at 1/9; "b" was chosen."""
         group = self.group("a", "b", "c")
         group.primary = "a"
+        group.sync_replicas = sync_replicas
         old = group.targets["a"]
         old.draining = draining
         failover = Failover("vm", None, None, Shares(), StubLog(), self.rng)
 
         async def fetch(target):
-            return condition(received[target.id])
+            pos = received.get(target.id)
+            return None if pos is None else condition(pos)
 
         async def step_down(target, ask, timeout_s):
             return condition((1, 9))
@@ -318,6 +320,13 @@
     async def test_without_a_complete_one_the_most_advanced_is_promoted(self):
         self.assertEqual(await self.replace({"b": (1, 6), "c": (1, 8)}), "c")
 
+    async def test_a_silent_synchronous_replica_keeps_the_primary(self):
+        # A silent replica may be the only one with an acknowledged commit.
+        self.assertEqual(await self.replace({"b": (1, 6)}, sync_replicas=1), "a")
+        # A commit that no replica has received was not acknowledged.
+        received = {"b": (1, 6), "c": (1, 8)}
+        self.assertEqual(await self.replace(received, sync_replicas=1), "c")
+
     async def test_without_a_complete_one_a_primary_that_stays_leads_on(self):
         received = {"b": (1, 6), "c": (1, 8)}
         self.assertEqual(await self.replace(received, draining=False), "a")
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -127,6 +127,14 @@
         self.assertEqual(found.connection_limits["books"], 45)
         self.assertEqual(found.transaction_idle_s, 3.0)
 
+    def test_synchronous_replicas_are_decoded(self):
+        services = [
+            {"name": "books", "max_conns": 45, "sync_replicas": 1},
+            {"name": "notes", "max_conns": 45},
+        ]
+        config = documents.decode_config(CONFIG | {"services": services})
+        self.assertEqual(config.sync_replicas, {"books": 1, "notes": 0})
+
     @given(JSON)
     def test_any_configuration_is_decoded_or_refused(self, spec):
         try:
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -1,12 +1,14 @@
 """Test what follows from a store that has come back from a copy."""
 
 import asyncio
+import dataclasses
 import random
 import types
 import unittest
 
 from rosemaryridge.core import ClaimCache
 from rosemaryridge.core import Failover
+from rosemaryridge.core import FleetConfig
 from rosemaryridge.core import ProxyRegistry
 from rosemaryridge.core import RetryGate
 from rosemaryridge.core import Shares
@@ -173,6 +175,26 @@
             self.assertTrue(self.target.takes_work(now + least))
             self.assertFalse(self.target.takes_work(now + most))
 
+    async def test_a_target_whose_entry_has_gone_is_remembered_as_a_holder(self):
+        # It may be the only one with commits that were acknowledged before.
+        self.directory.put(self.info(1))
+        group, target = self.directory.group("books"), self.target
+        self.directory.remove("a")
+        target.removed_at -= 60.0
+        self.directory._on_grace_over(group, target)
+        self.assertEqual(group.departed, {"a"})
+        self.directory.put(self.info(2))
+        self.assertEqual(group.departed, set())
+
+    async def test_replicas_count_as_synchronous_until_the_configuration_is_known(self):
+        config = FleetConfig(1, {}, {"books": 9, "notes": 9}, 3.0)
+        config = dataclasses.replace(config, sync_replicas={"notes": 1})
+        self.assertEqual(self.directory.group("books").sync_replicas, 1)
+        self.directory.adopt_services(config)
+        services = ("books", "notes", "other")
+        found = [self.directory.group(name).sync_replicas for name in services]
+        self.assertEqual(found, [0, 1, 0])
+
     async def test_without_a_bound_a_draining_target_gets_work(self):
         for age_s in (0.0, float("inf")):
             self.directory.report_age_s = lambda age_s=age_s: age_s
