End the order of an old claim

Cause: the last claim counted as an order under way until a newer term was known. Change: what may still become of the last order is decided by its age, its outcome and whether the platform checks fences. One that has ended decides nothing; where fences are checked, the next order voids it. A primary that stepped down for an order that was never done counts again.

--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -15,6 +15,7 @@
 from rosemaryridge.core._statement import TargetCondition
 from rosemaryridge.core._successor import AMBIGUOUS_REASONS
 from rosemaryridge.core._successor import PLANNED_REASONS
+from rosemaryridge.core._successor import OrderState
 from rosemaryridge.core._successor import Reason
 from rosemaryridge.core._successor import all_lag
 from rosemaryridge.core._successor import choose_most_advanced
@@ -46,6 +47,8 @@
 _CLAIM_RECHECK_S = 0.25
 # An order is sent at most this long after it is due, before another proxy may claim.
 _ORDER_EXPIRY_S = 2.3
+# An order without an answer may be carried out seconds later.
+_LATE_ORDER_S = 10.0
 # Before acting on a group without a known primary, wait this long for proxies that act
 # already.
 _NO_PRIMARY_WAIT_S = 1.2
@@ -100,6 +103,23 @@
     successor: Target
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    """Hold a decision to promote a target, and what it rests on.
+
+    `claim` and `last_order` tell of the order before, `revision` is that of its claim.
+    """
+
+    reason: Reason
+    old: Target | None
+    successor: Target
+    claim: Claim
+    revision: int
+    era: int | None
+    last_order: OrderState
+    conditions: t.Mapping[str, TargetCondition]
+
+
 class Failover:
     """Order the promotion of a replica when a group's primary must be replaced."""
 
@@ -116,6 +136,8 @@
     ):
         # A deposed primary that goes on is trusted until the leases have expired.
         self._order_delay_s = PROMOTION_DELAY_S if deposed_go_on else 0.0
+        # Whether the platform refuses an order after one with a higher fence.
+        self._checks_fences = not deposed_go_on
         self._vm = vm
         self._store = store
         self._orders = orders
@@ -125,6 +147,8 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         # By service: the revision of the last claim and when it was first seen.
         self._claims_seen: dict[str, tuple[int, float]] = {}
+        # By service: the fence of this proxy's last order that was certainly not done.
+        self._undone_fences: dict[str, int] = {}
         self._era = era or StoreEra(log)
         self._era.subscribe(self._on_new_era)
         self.stopping = False
@@ -132,6 +156,7 @@
     def _on_new_era(self, era: int) -> str:
         # Revisions are given out again; those seen before tell nothing any more.
         self._claims_seen.clear()
+        self._undone_fences.clear()
         return "claims seen"
 
     def on_suspect(self, group: Group) -> None:
@@ -203,19 +228,28 @@
                 return False
             # It has all that the primary acknowledged, whatever others have.
             accept_partial = True
-        decision = choose_successor(group, claim, conditions, accept_partial)
+        order = self._order_state(group, claim, revision)
+        decision = choose_successor(group, claim, conditions, accept_partial, order)
         if decision.target is not None:
             claim, revision = await self._read_claim(group)
             era = self._era.current
             if self._is_blocked_by(group, claim, revision):
                 return False
-            decision = choose_successor(group, claim, conditions, accept_partial)
+            order = self._order_state(group, claim, revision)
+            decision = choose_successor(group, claim, conditions, accept_partial, order)
         if decision.target is None:
             self._log_not_promoted(group, reason, decision.why)
             if decision.primary is not None:
                 await group.probe_primary(decision.primary)
             return False
         successor = complete or decision.target
+        plan = _Plan(reason, old, successor, claim, revision, era, order, conditions)
+        return await self._carry_out(group, plan)
+
+    async def _carry_out(self, group: Group, plan: "_Plan") -> bool:
+        """Claim and order a promotion; return whether the group has its primary."""
+        old, successor, claim = plan.old, plan.successor, plan.claim
+        conditions, era = plan.conditions, plan.era
         new_claim = Claim(
             next_fence(claim.fence, era),
             self._vm,
@@ -224,12 +258,12 @@
             old.id if old else claim.target,
         )
         claimed_at = boottime()
-        revision = await self._put_claim(group, new_claim, revision)
+        revision = await self._put_claim(group, new_claim, plan.revision)
         if not revision or self._era.current != era:
             return False
-        self._log_order(group, reason, new_claim, conditions)
+        self._log_order(group, plan, new_claim)
         due_at = boottime() + self._order_delay_s
-        if is_planned:
+        if old is not None and plan.reason in PLANNED_REASONS:
             step_down = await self._step_down(group, old, successor, new_claim.term)
             if step_down.done:
                 due_at = boottime()
@@ -286,18 +320,19 @@
     def _log_order(
         self,
         group: Group,
-        reason: Reason,
+        plan: "_Plan",
         new_claim: Claim,
-        conditions: t.Mapping[str, TargetCondition],
     ) -> None:
+        conditions = plan.conditions
         self._log.write(
             "promotion_ordered",
             service=group.service,
-            reason=reason.value,
+            reason=plan.reason.value,
             primary=new_claim.deposed,
             term=new_claim.term,
             target=new_claim.target,
             fence=new_claim.fence,
+            last_order=plan.last_order.value,
             received={name: str(cond.received) for name, cond in conditions.items()},
             lag_s=_lags(conditions),
         )
@@ -441,6 +476,20 @@
             return True
         return now - since < _CLAIM_HOLD_S + self._order_delay_s
 
+    def _order_state(self, group: Group, claim: Claim, revision: int) -> OrderState:
+        """Return what may still become of the order of a claim.
+
+        A claim's age counts from when this proxy first saw its revision.
+        """
+        if claim.fence == 0 or self._undone_fences.get(group.service) == claim.fence:
+            return OrderState.ENDED
+        now = asyncio.get_running_loop().time()
+        known, since = self._claims_seen.get(group.service, (0, now))
+        sent_within_s = self._order_delay_s + _ORDER_EXPIRY_S
+        if revision == known and now - since > sent_within_s + _LATE_ORDER_S:
+            return OrderState.ENDED
+        return OrderState.VOIDED_BY_NEXT if self._checks_fences else OrderState.PENDING
+
     async def _promote(
         self,
         group: Group,
@@ -451,6 +500,7 @@
         try:
             await self._orders.promote(group.service, target.id, fence, may_send)
         except OrderExpired:
+            self._undone_fences[group.service] = fence
             self._log_not_promoted(
                 group,
                 None,
@@ -459,6 +509,7 @@
             )
             return False
         except FenceRefused:
+            self._undone_fences[group.service] = fence
             self._log_not_promoted(
                 group,
                 None,
--- a/src/rosemaryridge/core/_successor.py
+++ b/src/rosemaryridge/core/_successor.py
@@ -24,6 +24,17 @@
     NONE = "no primary"
 
 
+class OrderState(enum.Enum):
+    """List what may still become of the order of the last claim."""
+
+    # Carried out, refused, never sent, or too old to be carried out.
+    ENDED = "ended"
+    # Refused if it arrives after a newer order.
+    VOIDED_BY_NEXT = "voided by the next"
+    # May be carried out after newer orders.
+    PENDING = "pending"
+
+
 # Reasons that a fault of this proxy's network routes may cause as well.
 AMBIGUOUS_REASONS = (Reason.UNRESPONSIVE, Reason.NONE)
 # Reasons that leave time to replicate the commits that only the primary has.
@@ -85,13 +96,16 @@
     claim: Claim,
     conditions: t.Mapping[str, TargetCondition],
     accept_partial: bool = False,
+    last_order: OrderState = OrderState.PENDING,
 ) -> PromotionDecision:
     """Choose the target to promote.
 
     Guards against a proxy whose view is outdated or partial. All targets but one must
     have reported their conditions, unless `accept_partial` is set after a wait; with
     synchronous replicas that one must be the former primary, and a draining target that
-    has received most is chosen. A deposed primary whose log was left behind by a
+    has received most is chosen. The target of an order that may still be carried out
+    goes before one that has received more, as it would depose that one, unless an order
+    for another voids it. A deposed primary whose log was left behind by a
     promotion is never chosen, or commits of the current log would be rolled back.
     """
     newest_term = max((cond.term for cond in conditions.values()), default=0)
@@ -111,27 +125,41 @@
     why = "" if accept_partial else _reason_to_await(group, claim, conditions)
     if why:
         return PromotionDecision(why=why)
+    if newest_term > claim.term:
+        last_order = OrderState.ENDED
+    # The target of the claim tells that it was not promoted.
+    was_undone = last_order is OrderState.ENDED and claim.target in conditions
     current = {
         name: cond
         for name, cond in conditions.items()
-        if not _is_left_behind(name, claim, conditions)
+        if (was_undone and newest_term <= claim.term)
+        or not _is_left_behind(name, claim, conditions)
     }
     eligible = [
         tgt
         for tgt in group.targets.values()
         if _is_eligible(tgt, group, current) and not current[tgt.id].primary
     ]
-    if promoted in eligible and newest_term <= claim.term:
-        # The earlier order may still be carried out; another target would then be
-        # deposed by it.
-        return PromotionDecision(promoted)
     target = max(
         eligible,
-        key=lambda tgt: (conditions[tgt.id].received, not tgt.draining, tgt.id),
+        key=lambda tgt: (
+            conditions[tgt.id].received,
+            not tgt.draining,
+            tgt is promoted and last_order is not OrderState.ENDED,
+            tgt.id,
+        ),
         default=None,
     )
     if target is None:
         return PromotionDecision(why="no replica is eligible for promotion")
+    if last_order is OrderState.PENDING and promoted in eligible:
+        has_less = conditions[promoted.id].received < conditions[target.id].received
+        if not has_less or not group.sync_replicas:
+            return PromotionDecision(promoted)
+        return PromotionDecision(
+            why=f"{target.id} received more than {promoted.id}, whose promotion may "
+            "still take place"
+        )
     if group.sync_replicas and not accept_partial:
         ahead = more_advanced(conditions[target.id], current)
         if ahead:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -1,5 +1,7 @@
 """Test whom a failover promotes, with the store, orders and targets as stubs."""
 
+import asyncio
+import dataclasses
 import random
 import types
 import unittest
@@ -11,6 +13,9 @@
 from rosemaryridge.core._pool import Pool
 from rosemaryridge.core._successor import Reason
 from rosemaryridge.core._target import Target
+from rosemaryridge.core.store import Claim
+from rosemaryridge.exceptions import FenceRefused
+from rosemaryridge.exceptions import OrderExpired
 from rosemaryridge.exceptions import StoreUnavailable
 from rosemaryridge_testbed.schedules._loop import run_virtually
 from tests.test_core_decisions import StubLog
@@ -20,13 +25,17 @@
 
 
 class StubPlatform:
-    """Store claims and take orders; while `refuses` is set, no order is done."""
+    """Store claims and take orders."""
 
     def __init__(self):
         self.claim = None
         self.revision = 0
         self.ordered = []
-        self.refuses = False
+        self._error = None
+
+    def fail(self, error):
+        """Raise an error for each order, None to take them."""
+        self._error = error
 
     async def get(self, kind, name, stale=False):
         return types.SimpleNamespace(spec=self.claim, revision=self.revision)
@@ -36,8 +45,8 @@
         return self.revision
 
     async def promote(self, service, target, fence, may_send):
-        if self.refuses:
-            raise StoreUnavailable("503")
+        if self._error is not None:
+            raise self._error
         self.ordered.append(target)
 
 
@@ -205,5 +214,116 @@
         self.assertEqual(run_virtually(run), ["c"])
 
 
+class EndedOrderTest(unittest.TestCase):
+    """Guard against the target of an old claim that goes before a better one.
+
+    "b" was to be promoted, and the platform answered 503; "a" led on.
+    """
+
+    def _promote_later(self, pause_s, order=None, **options):
+        """Return who is promoted when "c" has received more than "b", or why none."""
+
+        async def run():
+            fleet = Fleet(**options)
+            fleet.report(b=(1, 10), c=(1, 9))
+            fleet.platform.fail(order or StoreUnavailable("503"))
+            await fleet.replace()
+            self.assertEqual(fleet.platform.claim["target"], "b")
+            fleet.platform.fail(None)
+            await asyncio.sleep(pause_s)
+            fleet.report(b=(1, 20), c=(1, 60))
+            return await fleet.replace() or fleet.why()
+
+        return run_virtually(run)
+
+    def test_an_order_that_failed_long_ago_decides_nothing(self):
+        # Some 40 acknowledged commits were lost: "b" was promoted 12 s later.
+        self.assertEqual(self._promote_later(12.0), ["c"])
+
+    def test_an_order_for_another_voids_the_last_one_where_fences_are_checked(self):
+        self.assertEqual(self._promote_later(3.0), ["c"])
+
+    def test_an_order_for_another_is_held_where_no_fence_is_checked(self):
+        # A late order would depose "c", and "b" lacks what "c" has received.
+        options = {"deposed_go_on": True}
+        why = "c received more than b, whose promotion may still take place"
+        self.assertEqual(self._promote_later(3.0, **options), why)
+        self.assertEqual(self._promote_later(20.0, **options), ["c"])
+
+    def test_without_synchronous_replicas_nothing_is_held(self):
+        options = {"deposed_go_on": True, "sync_replicas": 0}
+        self.assertEqual(self._promote_later(3.0, **options), ["b"])
+        self.assertEqual(self._promote_later(20.0, **options), ["c"])
+
+    def test_a_refused_order_has_ended(self):
+        options = {"deposed_go_on": True}
+        for order in (FenceRefused(1), OrderExpired("unsent")):
+            self.assertEqual(self._promote_later(3.0, order, **options), ["c"])
+
+    def test_the_claim_of_another_proxy_is_held_until_its_order_has_ended(self):
+        # A proxy that has just started knows the claim's age from its first look only.
+        async def run():
+            fleet = Fleet(deposed_go_on=True)
+            fleet.platform.claim = dataclasses.asdict(Claim(1, "vm-2", 1, "b", "a"))
+            fleet.platform.revision = 7
+            fleet.report(b=(1, 20), c=(1, 60))
+            loop = asyncio.get_running_loop()
+            while not await fleet.replace():
+                await asyncio.sleep(0.5)
+            return fleet.platform.ordered, loop.time()
+
+        ordered, took_s = run_virtually(run)
+        self.assertEqual(ordered, ["c"])
+        self.assertGreater(took_s, 10.0)
+        self.assertLess(took_s, 18.0)
+
+    def test_a_late_order_that_was_carried_out_is_seen(self):
+        async def run():
+            fleet = Fleet()
+            fleet.report(b=(1, 10), c=(1, 9))
+            fleet.platform.fail(StoreUnavailable("no answer"))
+            await fleet.replace()
+            fleet.platform.fail(None)
+            await asyncio.sleep(3.0)
+            leads = condition((1, 10), primary=True, term=2)
+            fleet.conditions = {"b": leads, "c": condition((1, 60))}
+            return await fleet.replace() or fleet.why()
+
+        self.assertEqual(run_virtually(run), "b is the primary already")
+
+    def test_a_primary_that_stepped_down_for_nothing_is_promoted_again(self):
+        # Its last commits were rolled back as if another target had been promoted.
+        async def run(pause_s):
+            fleet = Fleet(sync_replicas=0)
+            fleet.platform.claim = dataclasses.asdict(Claim(1, "vm-2", 1, "b", "a"))
+            fleet.platform.revision = 7
+            fleet.group.primary = None
+            fleet.report(a=(1, 100), b=(1, 90), c=(1, 90))
+            await fleet.replace(Reason.NONE)
+            await asyncio.sleep(pause_s)
+            return await fleet.replace(Reason.NONE)
+
+        self.assertEqual(run_virtually(lambda: run(20.0)), ["a"])
+        # The order may be under way.
+        self.assertEqual(run_virtually(lambda: run(3.0)), ["b"])
+
+    def test_two_failed_orders_for_two_targets_leave_the_better_one(self):
+        async def run():
+            fleet = Fleet()
+            fleet.report(b=(1, 10), c=(1, 9))
+            fleet.platform.fail(StoreUnavailable("503"))
+            await fleet.replace()
+            fleet.report(b=(1, 20), c=(1, 60))
+            await asyncio.sleep(3.0)
+            await fleet.replace()
+            self.assertEqual(fleet.platform.claim["target"], "c")
+            fleet.platform.fail(None)
+            await asyncio.sleep(3.0)
+            fleet.report(b=(1, 90), c=(1, 60))
+            return await fleet.replace()
+
+        self.assertEqual(run_virtually(run), ["b"])
+
+
 if __name__ == "__main__":
     unittest.main()
