Count a former primary among synchronous replicas

What callers saw: in the soak, without fences and with sync_replicas 1, 123 acknowledged commits were lost at a promotion (LOST). Cause: the deposed primary of the last claim was passed over as left behind. It alone had them: its successor fell silent before a replica had received any commit of the new term. Change: with synchronous replicas it is compared like the others. What was acknowledged since its lead is on a replica with a newer term, which goes first.

--- a/src/rosemaryridge/core/_successor.py
+++ b/src/rosemaryridge/core/_successor.py
@@ -105,8 +105,9 @@
     synchronous replicas that one must be the former primary, and a draining target that
     has received most is chosen. The target of an order that may still be carried out
     goes before one that has received more, as it would depose that one, unless an order
-    for another voids it. A deposed primary whose log was left behind by a
-    promotion is never chosen, or commits of the current log would be rolled back.
+    for another voids it. Without synchronous replicas a deposed primary whose
+    log was left behind by a promotion is never chosen, or commits of the current log
+    would be rolled back.
     """
     newest_term = max((cond.term for cond in conditions.values()), default=0)
     for name, condition in conditions.items():
@@ -128,12 +129,18 @@
     if newest_term > claim.term:
         last_order = OrderState.ENDED
     # The target of the claim tells that it was not promoted.
-    was_undone = last_order is OrderState.ENDED and claim.target in conditions
+    was_undone = (
+        last_order is OrderState.ENDED
+        and claim.target in conditions
+        and newest_term <= claim.term
+    )
+    # A former primary of synchronous replicas has all that it acknowledged; what was
+    # acknowledged since is on a replica with a newer term.
+    keeps_deposed = was_undone or group.sync_replicas > 0
     current = {
         name: cond
         for name, cond in conditions.items()
-        if (was_undone and newest_term <= claim.term)
-        or not _is_left_behind(name, claim, conditions)
+        if keeps_deposed or not _is_left_behind(name, claim, conditions)
     }
     eligible = [
         tgt
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -250,6 +250,19 @@
         with mock.patch("rosemaryridge.core._failover.request_condition", no_answer):
             self.assertEqual(run_virtually(run), ["c"])
 
+    def test_a_former_primary_that_has_more_than_the_others_is_promoted(self):
+        # 123 commits were lost in seed 406 of the soak: the deposed primary had them,
+        # and its successor fell silent before it had replicated any of its own.
+        async def run():
+            fleet = Fleet()
+            fleet.platform.claim = dataclasses.asdict(Claim(1, "vm-2", 1, "b", "a"))
+            fleet.group.primary = fleet.group.last_primary = "b"
+            fleet.group.term = 2
+            fleet.report(a=(1, 87), c=(1, 75))
+            return await fleet.replace()
+
+        self.assertEqual(run_virtually(run), ["a"])
+
     def test_a_hold_ends_if_nobody_is_promoted(self):
         # A replica that receives nothing for good would block all writes.
         async def run():
