Exempt rolled-back writes that a later promotion brings back

Their traces show reads right after a promotion; the writes that they lacked were rolled back by it, and a replica that had missed this promotion led later, which brought them back. A stand-in whose primary has stepped down no longer raises as it receives. Result: the new test failed before.

--- a/src/rosemaryridge_testbed/site/_target.py
+++ b/src/rosemaryridge_testbed/site/_target.py
@@ -566,7 +566,7 @@
             return
         if commit.number != len(self.log) + 1:
             # Copied already, or after commits that were missed while cut off.
-            self.follow(self.group.targets[self.group.primary].log)
+            self._catch_up()
             return
         self.log.append(commit)
         self.schedule_apply()
--- a/src/rosemaryridge_testbed/soak/_ledger.py
+++ b/src/rosemaryridge_testbed/soak/_ledger.py
@@ -101,8 +101,10 @@
             violations[Rule.ONE] += sum(data in split for _, data in writes)
         for read in self.reads:
             # A write of unknown outcome may take effect after later writes, so the
-            # order in the log decides. Reads need not cover rolled-back writes.
-            if read.least not in index or read.data in rolled_back:
+            # order in the log decides. Reads need not cover rolled-back writes, also if
+            # a later promotion brings them back.
+            lapsed = read.least in rolled_back or read.data in rolled_back
+            if read.least not in index or lapsed:
                 continue
             if index.get(read.data, -1) < index[read.least]:
                 self.stale.append(read)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -39,6 +39,11 @@
         self.ledger.reads.append(Read("k.1", "k.4", "orders", 5.0))
         self.assertEqual(self.violations(["k.1", "k.4"]), {Rule.STALE: 1})
 
+    def test_a_read_need_not_cover_a_write_that_is_rolled_back_and_comes_back(self):
+        # Seed 305 with --drawn: a replica that had missed the promotion led later.
+        self.ledger.reads.append(Read("k.1", "k.4", "orders", 5.0))
+        self.assertEqual(self.violations(["k.1", "k.4"], rolled_back={"k.4"}), {})
+
     def test_a_write_of_unknown_outcome_may_take_effect_after_a_later_one(self):
         self.ledger.reads.append(Read("k.3", "k.4", "orders", 5.0))
         self.assertEqual(self.violations(["k.1", "k.4", "k.3"]), {})
