Explore schedules of synchronous replicas

Cause: the schedules' targets acknowledged alone, so that no schedule could lose what a replica had received.

--- a/src/rosemaryridge_testbed/schedules/_explore.py
+++ b/src/rosemaryridge_testbed/schedules/_explore.py
@@ -22,6 +22,7 @@
 _LATE_S = 1.1
 _SETTLE_S = 6.0
 _FAULTS_OF_OWNERS = ("cut_proxies", "kill_proxy")
+_FAULTS_OF_REPLICAS = ("deaf_replica",)
 _DEFAULT_OPTIONS = Options()
 # Only some of the proxies that share the connections run.
 OWNED_OPTIONS = Options(owned=True, connections=20, counted=24)
@@ -68,6 +69,7 @@
         world = self.world = World(
             self.rng, options.targets, options.promotion_s, options.work_s
         )
+        world.sync_replicas = options.sync_replicas
         self._streams = Streams(world)
         if options.owned:
             for target in world.targets.values():
@@ -95,6 +97,8 @@
         # What was sent may still run.
         await asyncio.sleep(_SETTLE_S)
         self._check_writes()
+        if options.sync_replicas:
+            self._check_promotions()
         self.result.promotions = world.promotions
         self._count_links()
         fences = [fence for fence, _ in world.orders]
@@ -219,6 +223,16 @@
             if self.trace:
                 print(f"stale: {started_at} {sorted((before & kept) - seen)[:3]}")
 
+    def _check_promotions(self) -> None:
+        """Check that each promoted target had what was acknowledged before."""
+        for at, log in self.world.promoted:
+            lost = [d for d, since in self.acknowledged.items() if since < at]
+            lost = [data for data in lost if data not in log]
+            self.result.violations["lost"] += len(lost)
+            if lost and self.trace:
+                print(f"lost: {len(lost)} writes at {at:.3f}, such as {lost[0]}")
+        self.result.violations = +self.result.violations
+
     def _check_writes(self) -> None:
         for data in self.acknowledged:
             if data not in self.committed:
@@ -242,6 +256,8 @@
         faults = sorted(_FAULTS)
         if not self.options.owned:
             faults = [name for name in faults if name not in _FAULTS_OF_OWNERS]
+        if not self.options.sync_replicas:
+            faults = [name for name in faults if name not in _FAULTS_OF_REPLICAS]
         fault = rng.choice(faults)
         if self.trace:
             print(f"{loop.time():8.3f} fault {fault}")
@@ -365,6 +381,18 @@
     target.restart()
 
 
+@_fault
+async def _deaf_replica(schedule: _Schedule, duration_s: float) -> None:
+    """Let a replica receive nothing."""
+    world = schedule.world
+    names = sorted(set(world.targets) - {world.leader} - world.deaf)
+    if names:
+        name = schedule.rng.choice(names)
+        world.deaf.add(name)
+        await asyncio.sleep(duration_s)
+        world.deaf.discard(name)
+
+
 @_fault
 async def _kill_proxy(schedule: _Schedule, duration_s: float) -> None:
     """Kill a proxy, maybe an owner, and start it again."""
--- a/src/rosemaryridge_testbed/schedules/_proxy.py
+++ b/src/rosemaryridge_testbed/schedules/_proxy.py
@@ -38,7 +38,8 @@
     `proofs` is false to trust primaries without a proof. `late_orders` is the share of
     promotion orders that are carried out late. With `owned`, targets accept fewer
     connections than there are proxies, which reach them through owners; proxies are
-    killed too.
+    killed too. With `sync_replicas`, a commit is acknowledged once a replica has it;
+    `tells_sync` is whether the proxies know.
     """
 
     targets: int = 3
@@ -52,6 +53,8 @@
     restored_stores: bool = True
     proofs: bool = True
     owned: bool = False
+    sync_replicas: int = 0
+    tells_sync: bool = True
     # What a target accepts, and how many proxies share it where not all of them run.
     connections: int = 60
     counted: int = 0
@@ -117,7 +120,14 @@
         self.alive = True
         self._links: list[ModelLink] = []
         routes = {route.database: route for route in options.routes}
-        config = FleetConfig(1, routes, {SERVICE: options.connections}, 3.0)
+        sync_replicas = options.sync_replicas if options.tells_sync else 0
+        config = FleetConfig(
+            1,
+            routes,
+            {SERVICE: options.connections},
+            3.0,
+            sync_replicas={SERVICE: sync_replicas},
+        )
         self.proxy.adopt_config(config)
         self.proxy.directory.replace(tgt.info for tgt in world.targets.values())
         self.owners: Owners | None = None
--- a/src/rosemaryridge_testbed/schedules/_world.py
+++ b/src/rosemaryridge_testbed/schedules/_world.py
@@ -31,6 +31,8 @@
 _LATENCY_S = (0.0005, 0.02)
 SLOW_LATENCY_S = (0.02, 0.5)
 _REPLICATION_PERIOD_S = 0.03
+# Period of looking for a replica that has received a commit.
+_RECEIPT_POLL_S = 0.01
 # A deposed primary follows its successor this long after it can reach it.
 _REJOIN_DELAY_S = 1.0
 _CALL_TIMEOUT_S = 1.5
@@ -68,6 +70,11 @@
         # Orders as (fence, target), in the order in which they were sent.
         self.orders: list[tuple[int, str]] = []
         self.promotions = 0
+        self.sync_replicas = 0
+        # Replicas that receive nothing.
+        self.deaf: set[str] = set()
+        # When a target was promoted, and the writes that it had.
+        self.promoted: list[tuple[float, frozenset[bytes]]] = []
         self.objects: dict[str, StoredObject] = {}
         self.era = 1
         self._revision = 0
@@ -121,6 +128,8 @@
             return
         self.term += 1
         self.promotions += 1
+        now = asyncio.get_running_loop().time()
+        self.promoted.append((now, frozenset(c.data for c in target.log)))
         self.leader = name
         target.leads_term = target.term = self.term
         for other in self.targets.values():
@@ -201,6 +210,7 @@
             or leader.crashed
             or not self.world.reach(self.name, leader.name)
             or self.held_term
+            or self.name in self.world.deaf
         ):
             self._reaches_leader_since = None
             return
@@ -219,6 +229,21 @@
         commit = Commit(t.cast(int, self.leads_term), len(self.log) + 1, data, leads)
         self.log.append(commit)
 
+    async def wait_for_receipt(self) -> bool:
+        """Return whether a replica has received the last commit, once one has."""
+        commit = self.log[-1]
+        others = [tgt for tgt in self.world.targets.values() if tgt is not self]
+        while not any(tgt.has_received(commit) for tgt in others):
+            if self.crashed or self.leads_term is None:
+                return False
+            await asyncio.sleep(_RECEIPT_POLL_S)
+        return True
+
+    def has_received(self, commit: Commit) -> bool:
+        """Return whether the log holds a commit."""
+        number = commit.number
+        return len(self.log) >= number and self.log[number - 1] is commit
+
     def condition(self) -> TargetCondition:
         """Return the condition that the target reports."""
         leads = self.leads_term is not None
@@ -338,7 +363,12 @@
                 break
             if self._world.work_s:
                 await asyncio.sleep(self._world.rng.uniform(0.0, self._world.work_s))
+            length = len(self._target.log)
             answer = await self._answer(request, takes_slot)
+            has_written = self._world.sync_replicas and len(self._target.log) > length
+            if has_written and not await self._target.wait_for_receipt():
+                await self._lose(fut)
+                break
             back = await self._world.travel(self._proxy, self._target.name)
             if not back:
                 await self._lose(fut)
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -37,6 +37,9 @@
     def test_no_schedule_with_late_orders_breaks_a_promise(self):
         self.assertEqual(self.violations(Options(late_orders=0.3)), {})
 
+    def test_synchronous_replicas_lose_nothing_that_was_acknowledged(self):
+        self.assertEqual(self.violations(Options(sync_replicas=1)), {})
+
     def test_schedules_serve_and_promote(self):
         results = [explore(seed) for seed in _SEEDS[:8]]
         self.assertGreater(sum(result.acknowledged for result in results), 500)
@@ -57,6 +60,12 @@
         self.assert_found("one", Options(proofs=False))
         self.assert_found("stale", Options(proofs=False))
 
+    def test_synchronous_replicas_that_proxies_do_not_know_of(self):
+        options = Options(sync_replicas=1, tells_sync=False)
+        found = self.violations(options, (76, 197, 510))
+        self.assertEqual(sorted(found), [76, 197, 510])
+        self.assertTrue(all("lost" in counts for counts in found.values()), found)
+
     def test_orders_before_the_leases_end(self):
         with mock.patch.object(_failover, "PROMOTION_DELAY_S", 0.0):
             self.assert_found("one", Options(promotion_s=0.05))
