--- a/src/rosemaryridge/core/_execution.py
+++ b/src/rosemaryridge/core/_execution.py
@@ -46,21 +46,21 @@
         try:
             yield attempt
         except TargetLost as exc:
-            attempt.has_run = exc.sent
+            attempt.may_have_run = exc.sent
             raise
         finally:
-            if not attempt.has_run:
+            if not attempt.may_have_run:
                 self._attempts_sent -= 1
 
 
 class Attempt:
     """Hold whether one attempt may have run at its target."""
 
-    __slots__ = ("has_run",)
+    __slots__ = ("may_have_run",)
 
     def __init__(self) -> None:
-        self.has_run = True
+        self.may_have_run = True
 
     def record_answer(self, answer: Answer) -> None:
         """Record the target's answer."""
-        self.has_run = answer.failure not in NOT_RUN
+        self.may_have_run = answer.failure not in NOT_RUN
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -257,13 +257,13 @@
             accept_partial,
         )
         hold = ReplicaHold(group, self._log)
-        done = False
+        has_primary = False
         try:
-            done = await self._carry_out(group, plan, hold)
+            has_primary = await self._carry_out(group, plan, hold)
         finally:
-            if not done:
+            if not has_primary:
                 await hold.release()
-        return done
+        return has_primary
 
     async def _carry_out(self, group: Group, plan: "_Plan", hold: ReplicaHold) -> bool:
         """Claim and order a promotion; return whether the group has its primary.
@@ -390,7 +390,6 @@
         down. A draining primary is replaced in any case, by the one that has received
         most, unless a silent synchronous replica may have received more.
         """
-
         last = await request_condition(
             old, lambda link: link.step_down(term + 1), _STEP_DOWN_TIMEOUT_S
         )
--- a/src/rosemaryridge/core/_successor.py
+++ b/src/rosemaryridge/core/_successor.py
@@ -129,14 +129,14 @@
     if newest_term > claim.term:
         last_order = OrderState.ENDED
     # The target of the claim tells that it was not promoted.
-    was_undone = (
+    was_not_done = (
         last_order is OrderState.ENDED
         and claim.target in conditions
         and newest_term <= claim.term
     )
     # A former primary of synchronous replicas has all that it acknowledged; what was
     # acknowledged since is on a replica with a newer term.
-    keeps_deposed = was_undone or group.sync_replicas > 0
+    keeps_deposed = was_not_done or group.sync_replicas > 0
     current = {
         name: cond
         for name, cond in conditions.items()
