--- a/review/standins3.py
+++ b/review/standins3.py
@@ -289,6 +289,9 @@
     memory_mb: int = 222
     fds: int = 1605
     grace_s: int = 6
+    config_apply_ms: int = 4000
+    # By name: the keys of each tenant; None where the config knows no tenants.
+    tenants: t.Mapping[str, tuple[str, ...]] | None = None
 
 
 class Site:
@@ -319,7 +322,7 @@
         await self.cloud.start()
         for service in self.shape.services:
             await self._start_group(service)
-        self.store.write("config", "main", self._config(1))
+        self.publish(1, self.shape.tenants)
         for number in range(self.shape.fronts):
             front = Front(self, f"front-{number}", pathlib.Path(self._folder.name))
             self.fronts.append(front)
@@ -385,6 +388,25 @@
         spec["sequence"] = next(self._sequence)
         self.store.write("servers", backend.name, spec)
 
+    def publish(
+        self, version: int, tenants: t.Mapping[str, tuple[str, ...]] | None
+    ) -> None:
+        """Write a config as the operator does."""
+        spec = self._config(version)
+        if tenants is not None:
+            spec["tenants"] = [
+                {
+                    "name": name,
+                    "api_keys": list(keys),
+                    "priority": 1,
+                    "rate_per_s": 1000.0,
+                    "burst": 1000.0,
+                }
+                for name, keys in tenants.items()
+            ]
+        self.store.write("config", "main", spec)
+        self.record.write(f"operator: config {json.dumps(spec)}")
+
     def _config(self, version: int) -> Json:
         shape = self.shape
         kinds = ("primary", "bounded_staleness", "read_your_writes")
@@ -472,13 +494,21 @@
             "drain_ms": 7000,
             "grace_s": shape.grace_s,
             "loss_slack_ms": 200,
-            "config_apply_ms": 4000,
+            "config_apply_ms": shape.config_apply_ms,
             "downgrade_slack_ms": 250,
             "outer_ms": 15000,
             "recovery_s": 12,
             "enforce_fencing": shape.fenced,
             "thaw_slack_ms": 300,
         }
+        if shape.tenants is not None:
+            bounds |= {
+                "strict_revocation": False,
+                "revoke_ms": 5000,
+                "quota_window_s": 5,
+                "quota_overage": 0.1,
+                "quota_slack": 20,
+            }
         return {
             "node_name": self.name,
             "role": "entry",
