Show commits lost by an order that is executed late

An order without an answer stays valid after the replicas were resumed and the primary is back: no newer fence voids it.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,7 @@
-"""Take the last tenant away, and call with its key and with one that never was."""
+"""Carry an order out late, when the crashed primary is back and leads on."""
 
 import asyncio
+import json
 import pathlib
 import sys
 
@@ -8,60 +9,125 @@
 
 import standins3 as st
 
-HELD, NEVER_HELD = "k-7f3a91c2", "k-00000000"
-SHAPE = st.Shape(
-    fronts=2, config_apply_ms=6000, tenants={"scent-post": (HELD,)}, tx_idle_ms=3000
-)
+SHAPE = st.Shape(fronts=3, sync_replicas=1, slots=3, connections=45)
 DATABASE = "ledger-primary"
-# The store's answer to a new version is the confirmation; the bound counts from it.
-LATER_S = 1.0
-
-
-async def call(site, front, key, data):
-    """Send one write with a key; return its answer, and the ids that were sent."""
-    try:
-        session = await st.Session.open(front.port, DATABASE, key)
-    except ConnectionRefusedError as exc:
-        site.record.write(f"{front.name}: START {DATABASE} {key}: {exc}")
-        return str(exc).split(" ")[1], ""
-    except (OSError, TimeoutError) as exc:
-        return repr(exc), ""
-    reply = await session.run(f"WRITE k1 {data}")
-    session.close()
-    code = reply.code or "success"
-    site.record.write(f"{front.name}: WRITE k1 {data} with {key}: {code}")
-    return code, session.last_id
-
-
-async def call_all(site, key, name):
-    """Call each front; return the codes and the ids of the statements."""
-    answers = [
-        await call(site, front, key, f"{name}-{front.name}") for front in site.fronts
-    ]
-    site.record.say(f"{name}, key {key}: {[code for code, _ in answers]}")
-    return [id_ for _, id_ in answers if id_]
+CALLERS = 4
+# The pages let a call without an answer be executed 2 to 12 s later.
+LATE_S = 10.0
+# The site file gives a crash 7 s.
+DOWN_S = 2.0
+# Time without writes before the crash.
+REST_S = 0.3
+# One way between two zones, and between two geos.
+NEAR, NEAR_S = "i-ledger-1", 0.0014
+FAR_S = 0.02
+
+
+def receive_by_distance():
+    """Let a replica receive a commit after the time of its link to the primary."""
+
+    def append(backend, item, data):
+        number = backend.log[-1].number + 1 if backend.log else 1
+        commit = st.targets.Commit(backend.term, number, item, data)
+        backend.log.append(commit)
+        backend.applied = len(backend.log)
+        for other in backend.group.targets.values():
+            delay_s = NEAR_S if other.name == NEAR else FAR_S
+            if other is not backend:
+                loop = asyncio.get_running_loop()
+                loop.call_later(delay_s, other.receive, commit)
+
+    st.targets.SiteTarget._append_commit = append
+
+
+class Callers(st.Writers):
+    """Send one write after the other in a session of each caller."""
+
+    # Whether the callers rest, so that both replicas have received the same.
+    resting = False
+
+    async def run(self):
+        """Send until cancelled."""
+        await asyncio.gather(*map(self._call, range(CALLERS)))
+
+    async def _call(self, number):
+        front = self.site.fronts[number % len(self.site.fronts)]
+        while True:
+            session = None
+            try:
+                session = await st.Session.open(front.port, DATABASE)
+                while True:
+                    await self._write_in(session, number)
+            except (OSError, TimeoutError) as exc:
+                self.site.record.write(f"caller {number}: {exc!r}")
+                await asyncio.sleep(0.1)
+            finally:
+                if session is not None:
+                    session.close()
+
+    async def _write_in(self, session, number):
+        if self.resting:
+            await asyncio.sleep(0.05)
+            return
+        self.sent += 1
+        data = f"d{self.sent}"
+        reply = await session.run(f"WRITE k{number} {data}")
+        if reply.code:
+            self.site.record.write(f"{data}: {reply.code} {reply.text}")
+            await asyncio.sleep(0.1)
+        else:
+            self.acknowledged[data] = self.site.record.now()
+            self.site.record.write(f"{data}: acknowledged")
+
+
+def delay_first_order(site):
+    """Leave the first order unanswered, and execute it late; its fence is checked."""
+    record, answer, orders = site.record, site.cloud.answer, []
+
+    async def execute_late(call):
+        await asyncio.sleep(LATE_S)
+        record.say(f"{record.now():.1f} s: the order is executed, {LATE_S} s late")
+        status, _ = await answer(*call)
+        record.say(f"{record.now():.1f} s: its status is {status}, without a reader")
+
+    async def answer_or_delay(*call):
+        orders.append(json.loads(call[-1]))
+        if len(orders) > 1:
+            return await answer(*call)
+        record.say(f"{record.now():.1f} s: order {orders[0]} gets no answer")
+        site.spawn(execute_late(call))
+        await asyncio.Event().wait()
+        return None
+
+    site.cloud.answer = answer_or_delay
+    return orders
 
 
 async def case(site, trouble):
-    """Return whether no request ran with a key that a config does not hold."""
-    group, record = site.groups["ledger"], site.record
-    async with asyncio.timeout(10.0):
-        while (await call(site, site.fronts[0], HELD, "first"))[0] != "success":
-            await asyncio.sleep(0.2)
-    foreign = await call_all(site, NEVER_HELD, "before, never held")
-    if not await call_all(site, HELD, "before, held"):
-        raise st.CannotRun("the key of the tenant was refused")
-    # The version that takes the tenant away names none; the other one changes nothing.
-    site.publish(2, {} if trouble else SHAPE.tenants)
-    await asyncio.sleep(SHAPE.config_apply_ms / 1000.0 + LATER_S)
-    foreign += await call_all(site, NEVER_HELD, "after, never held")
-    dropped = await call_all(site, HELD, "after, held by version 1")
-    ran = {executed.id: executed for executed in group.executed}
-    for id_ in foreign + (dropped if trouble else []):
-        if id_ in ran:
-            found = ran[id_]
-            record.say(f"{found.target} ran {id_} {found.text} for {found.business}")
-    return not any(id_ in ran for id_ in foreign)
+    """Return whether all acknowledged writes are in the log of the primary."""
+    record, group = site.record, site.groups["ledger"]
+    receive_by_distance()
+    callers = Callers(site)
+    site.spawn(callers.run())
+    await asyncio.sleep(4.0)
+    if trouble:
+        orders = delay_first_order(site)
+        callers.resting = True
+        await asyncio.sleep(REST_S)
+        primary = group.targets[group.primary]
+        record.say(f"{record.now():.1f} s: {primary.name} crashes")
+        await primary.crash()
+        callers.resting = False
+        await asyncio.sleep(DOWN_S)
+        await primary.restart()
+        site.register(primary)
+        record.say(
+            f"{record.now():.1f} s: {primary.name} is back, {group.primary} leads"
+        )
+        if not orders:
+            raise st.CannotRun("no order was given while the primary was down")
+    await asyncio.sleep(LATE_S + 4.0)
+    return callers.all_kept(group)
 
 
 st.run_case(__file__, SHAPE, case)
