--- a/review/standins3.py
+++ b/review/standins3.py
@@ -722,12 +722,15 @@
     async def main() -> int:
         # What ends with a stand-in's connection is in the record, if it matters.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         site = Site(shape, record)
         try:
             async with asyncio.timeout(115.0):
                 await site.start()
                 held = await case(site, trouble)
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             # Also a fault of the script itself: it shows nothing.
             record.say(f"the case could not run: {exc!r}")
             return 2
