--- a/review/11/case.py
+++ b/review/11/case.py
@@ -64,4 +64,5 @@
     return not any(id_ in ran for id_ in foreign)
 
 
-st.run_case(__file__, SHAPE, case)
+RECORD = pathlib.Path(__file__).resolve().with_name("record.txt")
+st.run_case(RECORD, SHAPE, case)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -117,4 +117,5 @@
     return writers.all_kept(group)
 
 
-st.run_case(__file__, SHAPE, case)
+RECORD = pathlib.Path(__file__).resolve().with_name("record.txt")
+st.run_case(RECORD, SHAPE, case)
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -128,4 +128,5 @@
     return after[1] >= after[0] / 4
 
 
-st.run_case(__file__, SHAPE, case)
+RECORD = pathlib.Path(__file__).resolve().with_name("record.txt")
+st.run_case(RECORD, SHAPE, case)
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -713,11 +713,14 @@
 
 
 def run_case(
-    path: str, shape: Shape, case: t.Callable[[Site, bool], t.Awaitable[bool]]
+    path: pathlib.Path, shape: Shape, case: t.Callable[[Site, bool], t.Awaitable[bool]]
 ) -> None:
-    """Run a case and exit: 0 if the rule held, 1 if it broke, 2 if it could not run."""
+    """Run a case and exit: 0 if the rule held, 1 if it broke, 2 if it could not run.
+
+    What was sent, answered and run is written to the file at `path`.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(pathlib.Path(path).resolve().parent / "record.txt")
+    record = Record(path)
 
     async def main() -> int:
         # What ends with a stand-in's connection is in the record, if it matters.
