Keep requiring keys once no business is left

Cause: a configuration without businesses counted as a deployment without keys, whatever the settings and the versions before it said.

Change: whether keys are required is told by the settings (a bound on revocation, or the contract) or by any configuration of the process with a list of businesses, also an empty one, and does not end. A list that is missing is told from an empty one. A process that starts on such a version and a session that was open before it are covered. The check of configurations reports an empty list as one without callers.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -173,6 +173,7 @@
                 cfg.takes_changes,
             ),
         )
+        self._proxy.requires_keys = cfg.requires_keys
         if cfg.revocation_s is not None:
             self._proxy.config_age_s = self._mirrors[0].age_s
             self._proxy.max_config_age_s = cfg.revocation_s
@@ -452,7 +453,7 @@
                 continue
             self._proxy.adopt_config(config)
             self._update_owners()
-            if config.key_ring:
+            if self._proxy.requires_keys:
                 self._callers.close_revoked()
 
     def _replace_targets(self, objects: tuple[StoredObject, ...]) -> None:
--- a/src/rosemaryridge/config_check/_rules.py
+++ b/src/rosemaryridge/config_check/_rules.py
@@ -95,7 +95,7 @@
 @_rule(codes.config.OPEN_ROUTE, Severity.WARNING)
 def _open_routes(draft: ConfigDraft, assumptions: Assumptions) -> Found:
     for index, route in enumerate(draft.routes):
-        if route.open_to_all and draft.businesses:
+        if route.open_to_all and draft.listed_businesses is not None:
             text = "callers without a key are served, and no quota applies to them"
             yield f"routes[{index}].allow_anonymous", text
 
@@ -104,7 +104,7 @@
 def _no_callers(draft: ConfigDraft, assumptions: Assumptions) -> Found:
     has_keys = any(keys for _, keys in draft.businesses)
     needs_keys = not all(route.open_to_all for route in draft.routes)
-    if draft.businesses and needs_keys and not has_keys:
+    if draft.listed_businesses is not None and needs_keys and not has_keys:
         yield "tenants", "no business has a key, so some routes have no callers"
 
 
--- a/src/rosemaryridge/core/_config.py
+++ b/src/rosemaryridge/core/_config.py
@@ -47,7 +47,8 @@
 
     `connection_limits` maps a service to the connections that each target accepts,
     `sync_replicas` to the replicas that receive a commit before it is acknowledged.
-    Without businesses, callers need no key.
+    `has_businesses` is whether the configuration lists businesses, even if the list is
+    empty: callers then need a key.
     """
 
     version: int
@@ -56,22 +57,28 @@
     transaction_idle_s: float
     key_ring: KeyRing = KeyRing()
     sync_replicas: t.Mapping[str, int] = dataclasses.field(default_factory=dict)
+    has_businesses: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigDraft:
     """Hold a configuration as it was written, duplicates included.
 
-    `businesses` holds each business with its keys.
+    `listed_businesses` holds each business with its keys, None without a list.
     """
 
     version: int
     routes: tuple[Route, ...]
     connection_limits: tuple[tuple[str, int], ...]
     transaction_idle_s: float
-    businesses: tuple[tuple[Business, tuple[str, ...]], ...]
+    listed_businesses: tuple[tuple[Business, tuple[str, ...]], ...] | None
     sync_replicas: tuple[tuple[str, int], ...] = ()
 
+    @property
+    def businesses(self) -> tuple[tuple[Business, tuple[str, ...]], ...]:
+        """Return each business with its keys."""
+        return self.listed_businesses or ()
+
     def build(self) -> FleetConfig:
         """Return the configuration that proxies use; the last duplicate holds."""
         return FleetConfig(
@@ -81,6 +88,7 @@
             self.transaction_idle_s,
             KeyRing(self.businesses),
             types.MappingProxyType(dict(self.sync_replicas)),
+            self.listed_businesses is not None,
         )
 
 
--- a/src/rosemaryridge/core/_proxy.py
+++ b/src/rosemaryridge/core/_proxy.py
@@ -68,6 +68,9 @@
         self.shutdown: Shutdown | None = None
         # Keeps the businesses within their quotas; None where the platform sets none.
         self.quotas: Quotas | None = None
+        # Whether callers need a key. Once the settings or any configuration have told
+        # so, a later version without businesses takes keys away and opens nothing.
+        self.requires_keys = False
         # Returns the age of the configuration in seconds, and the greatest with which
         # callers are authorized; infinite unless revocation is strict.
         self.config_age_s: t.Callable[[], float] = lambda: 0.0
@@ -94,6 +97,8 @@
         )
         for problem in config.key_ring.problems:
             self.log.write("business_unusable", reason=problem)
+        if config.has_businesses or config.key_ring:
+            self.requires_keys = True
         self.directory.adopt_services(config)
         self.check_ready()
 
@@ -129,7 +134,7 @@
     def find_business(self, database: bytes, key: bytes) -> Business:
         """Return the business that a caller belongs to; raise StatementError."""
         config = self.config.current
-        if not config.key_ring:
+        if not self.requires_keys:
             return ANONYMOUS
         if self.config_age_s() > self.max_config_age_s:
             raise StatementError(
--- a/src/rosemaryridge/platform/documents.py
+++ b/src/rosemaryridge/platform/documents.py
@@ -52,7 +52,7 @@
             tuple(map(decode_route, spec["routes"])),
             tuple(map(decode_connection_limit, spec["services"])),
             decode_transaction_idle_s(spec["limits"]),
-            tuple(map(decode_business, spec.get("tenants") or ())),
+            decode_businesses(spec.get("tenants")),
             tuple(map(decode_sync_replicas, spec["services"])),
         )
     except DECODE_ERRORS as exc:
@@ -89,6 +89,16 @@
     return float(limits["tx_idle_ms"]) / 1000.0
 
 
+def decode_businesses(
+    tenants: t.Any,
+) -> tuple[tuple[Business, tuple[str, ...]], ...] | None:
+    """Return each business with its keys, None without a list.
+
+    Raises one of DECODE_ERRORS.
+    """
+    return None if tenants is None else tuple(map(decode_business, tenants))
+
+
 def decode_business(
     tenant: t.Mapping[str, t.Any],
 ) -> tuple[Business, tuple[str, ...]]:
--- a/src/rosemaryridge_testbed/site/_site.py
+++ b/src/rosemaryridge_testbed/site/_site.py
@@ -99,7 +99,8 @@
         """Publish a configuration without the routes of the databases in `without`.
 
         The databases in `added` have routes to the first service. `businesses` replace
-        those of the options. `fields` override fields of every route.
+        those of the options; an empty list of them is written as such. `fields`
+        override fields of every route.
         """
         routes = [
             self._route(f"{service}-{name}", service, consistency) | fields
@@ -127,8 +128,8 @@
             "limits": limits,
         }
         if businesses is None:
-            businesses = self.options.businesses
-        if businesses:
+            businesses = self.options.businesses or None
+        if businesses is not None:
             spec["tenants"] = [
                 {
                     "name": business.name,
--- a/tests/integration/test_site_businesses.py
+++ b/tests/integration/test_site_businesses.py
@@ -71,6 +71,16 @@
             self.assertTrue((await self.refusal(key)).startswith("ERROR UNAUTH"))
         self.assertIn("caller_refused", self.log_path.read_text())
 
+    async def test_no_key_is_accepted_once_no_business_is_left(self):
+        # Guards against a version without businesses that let any key write.
+        client = await self.open("shop-key")
+        self.site.publish(2, businesses=())
+        await self.until(lambda: self.entries[0]._proxy.config.current.version == 2)
+        with self.assertRaises(asyncio.IncompleteReadError):
+            await client.read_line()
+        for key in ("shop-key", "nobody"):
+            self.assertTrue((await self.refusal(key)).startswith("ERROR UNAUTH"))
+
     async def test_an_open_route_serves_callers_without_a_key(self):
         self.site.publish(2, allow_anonymous=True)
         await self.until(lambda: self.entries[0]._proxy.config.current.version == 2)
--- a/tests/test_businesses.py
+++ b/tests/test_businesses.py
@@ -12,6 +12,7 @@
 from rosemaryridge.core import TargetInfo
 from rosemaryridge.core._config import Consistency
 from rosemaryridge.core._pool import Pool
+from rosemaryridge.core._session import Session
 from rosemaryridge.core.businesses import ANONYMOUS
 from rosemaryridge.core.businesses import Business
 from rosemaryridge.core.businesses import KeyRing
@@ -70,6 +71,12 @@
     def test_a_configuration_without_businesses_has_no_keys(self):
         self.assertFalse(documents.decode_config(CONFIG).key_ring)
 
+    def test_an_empty_list_of_businesses_is_told_from_a_missing_one(self):
+        for value, listed in (([], True), (None, False)):
+            config = documents.decode_config({**CONFIG, "tenants": value})
+            self.assertIs(config.has_businesses, listed)
+        self.assertFalse(documents.decode_config(CONFIG).has_businesses)
+
     def test_malformed_businesses_are_refused(self):
         for tenant in (7, {}, {"name": "shop"}, {"name": 3, "api_keys": []}):
             with self.assertRaises(documents.UnreadableDocument):
@@ -90,7 +97,7 @@
         proxy.adopt_config(self.config(1, ring, open_to_all))
         return proxy
 
-    def config(self, version, ring, open_to_all=False):
+    def config(self, version, ring, open_to_all=False, has_businesses=False):
         route = Route(
             b"db",
             "books",
@@ -100,7 +107,14 @@
             1,
             open_to_all=open_to_all,
         )
-        return FleetConfig(version, {b"db": route}, {"books": 9}, 3.0, ring)
+        return FleetConfig(
+            version,
+            {b"db": route},
+            {"books": 9},
+            3.0,
+            ring,
+            has_businesses=has_businesses,
+        )
 
     def refusal(self, proxy, key):
         with self.assertRaises(StatementError) as raised:
@@ -127,6 +141,29 @@
         self.assertEqual(self.refusal(proxy, b"k1"), "not authorized")
         self.assertEqual(self.refusal(proxy, b"k2"), "not authorized")
 
+    async def test_keys_stay_required_once_no_business_is_left(self):
+        # Guards against a version without businesses that let any key write.
+        for ring, listed in ((KeyRing(), True), (KeyRing(), False)):
+            proxy = await self.proxy(KeyRing([(SHOP, ["k1"])]))
+            session = Session(b"db", b"k1")
+            proxy.authorize(session)
+            proxy.adopt_config(self.config(2, ring, has_businesses=listed))
+            for key in (b"k1", b"never-held"):
+                self.assertEqual(self.refusal(proxy, key), "not authorized")
+            with self.assertRaises(StatementError):
+                proxy.authorize(session)
+
+    async def test_a_process_that_starts_without_businesses_requires_keys(self):
+        # Guards against a restart after the last business was taken away.
+        listed = await self.proxy(KeyRing())
+        listed.adopt_config(self.config(2, KeyRing(), has_businesses=True))
+        told = await self.proxy(KeyRing())
+        told.requires_keys = True
+        for proxy in (listed, told):
+            self.assertEqual(self.refusal(proxy, b"never-held"), "not authorized")
+            proxy.adopt_config(self.config(3, KeyRing(), open_to_all=True))
+            self.assertIs(proxy.find_business(b"db", b"never-held"), ANONYMOUS)
+
     async def test_an_older_configuration_does_not_bring_a_key_back(self):
         # A store that comes back from a copy may offer one.
         proxy = await self.proxy(KeyRing([(SHOP, ["k1"])]))
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -137,8 +137,9 @@
         self.assert_found("business_without_key", "tenants[1].api_keys", spec)
 
     def test_no_business_has_a_key(self):
-        spec = changed(("tenants",), [{"name": "shop", "api_keys": []}])
-        self.assertIn("no_callers", found(spec))
+        for businesses in ([{"name": "shop", "api_keys": []}], []):
+            spec = changed(("tenants",), businesses)
+            self.assertIn("no_callers", found(spec))
 
     def test_a_key_of_two_businesses_is_named_by_its_fingerprint(self):
         spec = changed(("tenants", 1, "api_keys"), ["k2"])
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -162,6 +162,15 @@
         self._fault("[]")
         self._fault(json.dumps({"node_name": "a", "bind_addrs": 3}))
 
+    def test_bounds_on_revocation_show_that_callers_need_keys(self):
+        # Guards against a process that starts after the last business has gone.
+        told = {"bounds": {"revoke_ms": 5000}}, {"contracts": ["base", "tenants"]}
+        for extra in told:
+            self.path.write_text(json.dumps({**_SETTINGS, **extra}))
+            self.assertTrue(load_settings(str(self.path)).requires_keys)
+        self.path.write_text(json.dumps({**_SETTINGS, "contracts": ["base", "sql"]}))
+        self.assertFalse(load_settings(str(self.path)).requires_keys)
+
     def test_a_missing_file_is_reported(self):
         with self.assertRaises(SettingsError) as caught:
             load_settings(str(self.path))
@@ -169,3 +178,11 @@
 
 
 _LISTEN = {"bind_addrs": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"}}
+_SETTINGS = {
+    "node_name": "a",
+    "zone": "z",
+    **_LISTEN,
+    "platform": {"address": "127.0.0.1:3"},
+    "cloud_api": {"address": "127.0.0.1:4"},
+    "limits": {"max_fds": 1600},
+}
