Move the life of a claim out of the failover

core/promotions/_claim_register reads and stores claims and tells what may still become of their orders.

--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -25,31 +25,21 @@
 from rosemaryridge.core._successor import reason_to_replace
 from rosemaryridge.core._successor import reason_to_wait
 from rosemaryridge.core._target import Target
-from rosemaryridge.core.store import CLAIMS_KIND
-from rosemaryridge.core.store import NO_CLAIM
+from rosemaryridge.core.promotions import ClaimRegister
+from rosemaryridge.core.promotions import ClaimStore
 from rosemaryridge.core.store import PROMOTION_DELAY_S
 from rosemaryridge.core.store import Claim
 from rosemaryridge.core.store import StoreEra
-from rosemaryridge.core.store import hidden_fence
 from rosemaryridge.core.store import next_fence
 from rosemaryridge.exceptions import FenceRefused
 from rosemaryridge.exceptions import OrderExpired
-from rosemaryridge.exceptions import StoreConflict
 from rosemaryridge.exceptions import StoreError
-from rosemaryridge.exceptions import StoreUnavailable
 
 # Time between two comparisons of the replicas' received positions; a primary that
 # serves other proxies gets several of their writes within it.
 _PROGRESS_CHECK_S = 0.25
-# Another proxy's claim blocks this proxy for this long after the order is due. Covers a
-# slow promotion and its order.
-_CLAIM_HOLD_S = 2.5
 # A claim is read again before its order if it is older than this.
 _CLAIM_RECHECK_S = 0.25
-# An order is sent at most this long after it is due, before another proxy may claim.
-_ORDER_EXPIRY_S = 2.3
-# An order without an answer may be carried out seconds later.
-_LATE_ORDER_S = 10.0
 # Before acting on a group without a known primary, wait this long for proxies that act
 # already.
 _NO_PRIMARY_WAIT_S = 1.2
@@ -74,16 +64,6 @@
 _START_SPREAD_PER_PROXY_S = 0.02
 
 
-class ClaimStore(t.Protocol):
-    """Read claims and write them with optimistic concurrency control."""
-
-    async def get(self, kind: str, name: str, stale: bool = False) -> t.Any:
-        """Return an object; a missing object has revision 0."""
-
-    async def put(self, kind: str, name: str, spec: t.Any, revision: int) -> int:
-        """Write if the stored revision matches; raise StoreConflict if not."""
-
-
 class PromotionOrders(t.Protocol):
     """Order promotions."""
 
@@ -138,29 +118,16 @@
     ):
         # A deposed primary that goes on is trusted until the leases have expired.
         self._order_delay_s = PROMOTION_DELAY_S if deposed_go_on else 0.0
-        # Whether the platform refuses an order after one with a higher fence.
-        self._checks_fences = not deposed_go_on
         self._vm = vm
-        self._store = store
         self._orders = orders
         self._shares = shares
         self._log = log
         self._rng = rng
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        # By service: the revision of the last claim and when it was first seen.
-        self._claims_seen: dict[str, tuple[int, float]] = {}
-        # By service: the fence of this proxy's last order that was certainly not done.
-        self._undone_fences: dict[str, int] = {}
         self._era = era or StoreEra(log)
-        self._era.subscribe(self._on_new_era)
+        self._claims = ClaimRegister(store, self._era, not deposed_go_on)
         self.stopping = False
 
-    def _on_new_era(self, era: int) -> str:
-        # Revisions are given out again; those seen before tell nothing any more.
-        self._claims_seen.clear()
-        self._undone_fences.clear()
-        return "claims seen"
-
     def on_suspect(self, group: Group) -> None:
         """Start a failover check of a group unless one is running."""
         task = self._tasks.get(group.service)
@@ -204,7 +171,7 @@
         old, era = group.primary_target, self._era.current
         # A stale read is cheap and enough for most proxies; those that go on to act
         # read the claim again.
-        claim, revision = await self._read_claim(group, stale=True)
+        claim, revision = await self._claims.read(group.service, group.term, True)
         if self._is_blocked_by(group, claim, revision):
             return False
         conditions = await self._fetch_conditions(group)
@@ -233,7 +200,7 @@
         order = self._order_state(group, claim, revision)
         decision = choose_successor(group, claim, conditions, accept_partial, order)
         if decision.target is not None:
-            claim, revision = await self._read_claim(group)
+            claim, revision = await self._claims.read(group.service, group.term)
             era = self._era.current
             if self._is_blocked_by(group, claim, revision):
                 return False
@@ -281,7 +248,7 @@
             old.id if old else claim.target,
         )
         claimed_at = boottime()
-        revision = await self._put_claim(group, new_claim, plan.revision)
+        revision = await self._claims.put(group.service, new_claim, plan.revision)
         if not revision or self._era.current != era:
             return False
         self._log_order(group, plan, new_claim)
@@ -321,7 +288,7 @@
                 why="other proxies may hold leases on the former primary",
             )
         await asyncio.sleep(due_at - boottime())
-        expires_at = claimed_at + self._order_delay_s + _ORDER_EXPIRY_S
+        expires_at = self._claims.order_expires_at(claimed_at, self._order_delay_s)
         if boottime() - claimed_at > _CLAIM_RECHECK_S and not await self._is_stored(
             group, new_claim, expires_at
         ):
@@ -340,25 +307,17 @@
         if successor.id == claim.target:
             return claim
         claim = dataclasses.replace(claim, fence=claim.fence + 1, target=successor.id)
-        return claim if await self._put_claim(group, claim, revision) else None
+        stored = await self._claims.put(group.service, claim, revision)
+        return claim if stored else None
 
     async def _is_stored(self, group: Group, claim: Claim, expires_at: float) -> bool:
         """Return whether a claim still stands; it may be lost with an era."""
-        while boottime() < expires_at:
-            try:
-                stored, _ = await self._read_claim(group)
-            except StoreUnavailable:
-                await asyncio.sleep(_POLL_S)
-                continue
-            if stored != claim:
-                self._log_not_promoted(
-                    group, None, f"the claim with fence {claim.fence} does not stand"
-                )
-            return stored == claim
-        self._log_not_promoted(
-            group, None, f"the claim with fence {claim.fence} could not be read in time"
+        why = await self._claims.reason_lost(
+            group.service, claim, group.term, expires_at
         )
-        return False
+        if why:
+            self._log_not_promoted(group, None, why)
+        return not why
 
     def _log_order(
         self,
@@ -480,57 +439,15 @@
             target, lambda link: link.ask_condition(), 2 * PROBE_TIMEOUT_S
         )
 
-    async def _put_claim(self, group: Group, new_claim: Claim, revision: int) -> int:
-        """Store this proxy's claim; return its revision, 0 if another proxy won."""
-        spec = dataclasses.asdict(new_claim)
-        try:
-            revision = await self._store.put(CLAIMS_KIND, group.service, spec, revision)
-        except StoreConflict:
-            return 0
-        except StoreUnavailable:
-            # The write is of unknown outcome; read back what is stored.
-            stored, revision = await self._read_claim(group)
-            if stored != new_claim:
-                return 0
-        self._claims_seen[group.service] = (revision, asyncio.get_running_loop().time())
-        return revision
-
-    async def _read_claim(self, group: Group, stale: bool = False) -> tuple[Claim, int]:
-        stored = await self._store.get(CLAIMS_KIND, group.service, stale=stale)
-        claim = Claim.decode(stored.spec)
-        if claim is NO_CLAIM and stored.revision:
-            # Another proxy's claim may be under it, which is awaited as a new one.
-            fence = hidden_fence(stored.revision, self._era.current)
-            claim = dataclasses.replace(NO_CLAIM, fence=fence, term=group.term)
-        return claim, stored.revision
-
     def _is_blocked_by(self, group: Group, claim: Claim, revision: int) -> bool:
-        """Return whether another proxy's claim must be awaited.
-
-        A claim counts as new when this proxy first sees its revision.
-        """
-        if claim.term < group.term:
-            return False
-        now = asyncio.get_running_loop().time()
-        known, since = self._claims_seen.get(group.service, (0, 0.0))
-        if revision > known:
-            self._claims_seen[group.service] = (revision, now)
-            return True
-        return now - since < _CLAIM_HOLD_S + self._order_delay_s
+        return self._claims.is_blocked_by(
+            group.service, claim, revision, group.term, self._order_delay_s
+        )
 
     def _order_state(self, group: Group, claim: Claim, revision: int) -> OrderState:
-        """Return what may still become of the order of a claim.
-
-        A claim's age counts from when this proxy first saw its revision.
-        """
-        if claim.fence == 0 or self._undone_fences.get(group.service) == claim.fence:
-            return OrderState.ENDED
-        now = asyncio.get_running_loop().time()
-        known, since = self._claims_seen.get(group.service, (0, now))
-        sent_within_s = self._order_delay_s + _ORDER_EXPIRY_S
-        if revision == known and now - since > sent_within_s + _LATE_ORDER_S:
-            return OrderState.ENDED
-        return OrderState.VOIDED_BY_NEXT if self._checks_fences else OrderState.PENDING
+        return self._claims.order_state(
+            group.service, claim, revision, self._order_delay_s
+        )
 
     async def _promote(
         self,
@@ -542,7 +459,7 @@
         try:
             await self._orders.promote(group.service, target.id, fence, may_send)
         except OrderExpired:
-            self._undone_fences[group.service] = fence
+            self._claims.record_undone(group.service, fence)
             self._log_not_promoted(
                 group,
                 None,
@@ -551,7 +468,7 @@
             )
             return False
         except FenceRefused:
-            self._undone_fences[group.service] = fence
+            self._claims.record_undone(group.service, fence)
             self._log_not_promoted(
                 group,
                 None,
--- a/src/rosemaryridge/platform/settings.py
+++ b/src/rosemaryridge/platform/settings.py
@@ -55,14 +55,14 @@
     # tells them that they miss one: where the bound on configurations leaves time for
     # it. Each change wakes a watch of every proxy, and a stale one costs a tenth.
     takes_changes: bool
-    # Whether callers need a key whatever the configurations say: the platform tells
-    # how fast a key that was taken away must stop working.
-    requires_keys: bool
     # How far businesses may exceed their quotas; None where quotas do not apply.
     quota_policy: QuotaPolicy | None
     # Maximum age in seconds of the configuration that authorizes callers; None if the
     # last known one is always used.
     revocation_s: float | None
+    # Whether callers need a key whatever the configurations say: the platform tells
+    # how fast a key that was taken away must stop working.
+    requires_keys: bool
 
 
 def settings_path() -> str:
@@ -107,15 +107,15 @@
         takes_changes=(
             float(bounds.get("config_apply_ms", 0)) >= _MIN_APPLY_FOR_RELAYED_MS
         ),
-        requires_keys=(
-            bool(bounds.get("revoke_ms")) or "tenants" in data.get("contracts", ())
-        ),
         quota_policy=_decode_quota_policy(bounds),
         revocation_s=(
             float(bounds["revoke_ms"]) / 1000.0
             if bounds.get("strict_revocation")
             else None
         ),
+        requires_keys=(
+            bool(bounds.get("revoke_ms")) or "tenants" in (data.get("contracts") or ())
+        ),
     )
 
 
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -373,9 +373,9 @@
         self.orders.append((fence, may_send()))
 
     async def test_revisions_seen_before_the_era_block_nothing(self):
-        self.failover._claims_seen["books"] = (900, 0.0)
+        self.failover._claims._seen["books"] = (900, 0.0)
         self.era.observe(2)
-        self.assertEqual(self.failover._claims_seen, {})
+        self.assertEqual(self.failover._claims._seen, {})
 
     async def test_a_claim_that_the_copy_lost_orders_nothing(self):
         claim = types.SimpleNamespace(fence=1_000_001)
