Pass a synchronous commit on only if every promotion keeps it

Cause: a commit was answered on the word of the primary. That word says that one replica has received it; the late order named another one.

Change: with synchronous replicas a commit needs a lease (the claims name no other target), or the receipt of every other target, so that whoever is promoted late has it. Leases are read for such services where fences are checked too. A COMMIT is refused unsent while neither can be had.

The model of schedules can refuse outdated orders (--fenced).

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -130,10 +130,10 @@
         )
         self._era.subscribe(self._proxy.directory.on_new_era)
         self._proxy.directory.request_position = self._peers.request_position
-        if cfg.deposed_go_on:
-            claims = ClaimCache(self._store, self._log, self._era, cfg.first_start)
-            claims.request_from_relay = self._peers.request_claims
-            self._proxy.directory.claims = self._peers.claims = claims
+        claims = ClaimCache(self._store, self._log, self._era, cfg.first_start)
+        claims.request_from_relay = self._peers.request_claims
+        self._proxy.directory.claims = self._peers.claims = claims
+        self._proxy.directory.deposed_go_on = cfg.deposed_go_on
         self._proxy_registry = ProxyRegistry(
             cfg.vm, self._store, self._on_proxies_listed, self._log, rng, self._era
         )
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -52,8 +52,10 @@
         self.is_loaded = False
         # Requests a group's position from a position relay; set once peers are known.
         self.request_position: t.Callable[[Group], t.Awaitable[bool]] | None = None
-        # Proves who leads a group; None where a deposed primary refuses to serve.
+        # Proves who leads a group, where a deposed primary may go on, and that commits
+        # of synchronous replicas are kept.
         self.claims: ClaimCache | None = None
+        self.deposed_go_on = False
         # Time for which draining targets take new work.
         self.drain_s = float("inf")
         # Returns how long ago the change that is being applied was made at the most.
@@ -83,7 +85,7 @@
             found.request_position = self.request_position
             found.sync_replicas = self._sync_replicas_of(service)
             if self.claims is not None:
-                found.require_proof(self.claims)
+                found.require_proof(self.claims, self.deposed_go_on)
             self.groups[service] = found
         return found
 
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -17,6 +17,7 @@
 from rosemaryridge.core._statement import Answer
 from rosemaryridge.core._statement import Failure
 from rosemaryridge.core._statement import StatementError
+from rosemaryridge.core._statement import TargetCondition
 from rosemaryridge.core._statement import TargetLost
 from rosemaryridge.core._target import Target
 from rosemaryridge.core.commands import Begin
@@ -47,6 +48,8 @@
 _RETRY_AFTER_S = 0.5
 # A deposed primary may have no free slot for a while.
 _STEP_DOWN_TIMEOUT_S = 1.0
+# A replica without a free slot is asked again within this time.
+_CONDITION_TIMEOUT_S = 2 * PROBE_TIMEOUT_S
 # Limit on the positions that wait for a proof of their primary.
 _MAX_UNPROVEN = 16
 
@@ -82,8 +85,11 @@
         self._log = log
         self._on_suspect = on_suspect
         self._history = PrimaryHistory()
-        # None where a deposed primary itself refuses to serve.
+        # None where no claims are read.
         self._leadership: Leadership | None = None
+        # Whether a deposed primary may go on, so that nothing that it says is trusted
+        # without a proof. Commits with synchronous replicas need one in any case.
+        self._deposed_go_on = False
         # Positions of the primary without a proof yet, and when they were requested.
         self._unproven: collections.deque[tuple[Position, float]] = collections.deque(
             maxlen=_MAX_UNPROVEN
@@ -101,15 +107,21 @@
         """Return the presumed primary, None if there is none."""
         return self.targets.get(self.primary) if self.primary else None
 
-    def require_proof(self, claims: ClaimCache) -> None:
-        """Trust the primary only as long as it is proven not to be replaced."""
+    def require_proof(self, claims: ClaimCache, deposed_go_on: bool = True) -> None:
+        """Trust the primary only as long as it is proven not to be replaced.
+
+        Unless a deposed primary may go on, this is in force only for commits with
+        synchronous replicas: they survive only if the successor has received them.
+        """
+        self._deposed_go_on = deposed_go_on
         self._leadership = Leadership(
             self.service,
             claims,
             lambda name: [other for other in self.targets if other != name],
             self._probe_by_id,
             self._log,
-            self._step_down_unproven,
+            self._step_down_unproven if deposed_go_on else lambda name: None,
+            self._ask_condition_by_id,
         )
 
     async def confirm_primary(self, target: Target, led_at: float) -> bool:
@@ -117,9 +129,31 @@
 
         `led_at` is on the clock of `boottime`.
         """
-        if self._leadership is None:
+        if self._leadership is None or not self._deposed_go_on:
+            return True
+        return await self._confirm_lead(self._leadership, target, led_at)
+
+    async def confirm_commit(
+        self, target: Target, position: Position | None, answered_at: float
+    ) -> bool:
+        """Return whether a commit that a target answered is proven to be kept.
+
+        `position` is the target's then, and `answered_at` on the clock of `boottime`.
+        """
+        if self._leadership is None or not self.sync_replicas:
+            return await self.confirm_primary(target, answered_at)
+        return await self._leadership.confirm_commit(target.id, position, answered_at)
+
+    async def may_commit(self, target: Target) -> bool:
+        """Return whether a commit that is sent now may be proven to be kept."""
+        if self._leadership is None or not (self._deposed_go_on or self.sync_replicas):
             return True
-        confirmed = await self._leadership.confirm(target.id, led_at)
+        return await self._confirm_lead(self._leadership, target, boottime())
+
+    async def _confirm_lead(
+        self, leadership: Leadership, target: Target, led_at: float
+    ) -> bool:
+        confirmed = await leadership.confirm(target.id, led_at)
         if target.id == self.primary:
             self._observe_proven()
         return confirmed
@@ -132,7 +166,7 @@
             self._history.observe(*self._unproven.popleft())
 
     def _proven_until(self, name: str) -> float:
-        if self._leadership is None:
+        if self._leadership is None or not self._deposed_go_on:
             return float("inf")
         return self._leadership.proven_until(name)
 
@@ -143,6 +177,14 @@
             await self.probe_primary(primary)
         return None if target is None else await self.probe_primary(target)
 
+    async def _ask_condition_by_id(self, name: str) -> TargetCondition | None:
+        target = self.targets.get(name)
+        if target is None:
+            return None
+        return await request_condition(
+            target, lambda link: link.ask_condition(), _CONDITION_TIMEOUT_S
+        )
+
     def record_primary(
         self, target: Target, position: Position | None, requested_at: float
     ) -> None:
@@ -179,6 +221,8 @@
         """Return whether the confirmed primary has replaced a target that goes on."""
         if self._leadership is None or self._confirmed_primary_id is None:
             return False
+        if not self._deposed_go_on:
+            return False
         successor = self._leadership.superseded_by(target.id)
         return successor == self._confirmed_primary_id
 
@@ -347,14 +391,21 @@
                 ) from None
         return primary
 
-    async def wait_for_proven_primary(self, deadline: float) -> Target:
+    async def wait_for_proven_primary(
+        self, deadline: float, commits: bool = False
+    ) -> Target:
         """Return the primary once it is proven not to be replaced.
 
-        Raises StatementError, at once unless a promotion may be under way.
+        With `commits`, its commits can be proven to be kept as well. Raises
+        StatementError, at once unless a promotion may be under way.
         """
         while True:
             primary = await self.wait_for_primary(deadline)
-            if await self.confirm_primary(primary, boottime()):
+            if commits:
+                confirmed = await self.may_commit(primary)
+            else:
+                confirmed = await self.confirm_primary(primary, boottime())
+            if confirmed:
                 return primary
             handing_over = (
                 self._leadership is not None
--- a/src/rosemaryridge/core/_runner.py
+++ b/src/rosemaryridge/core/_runner.py
@@ -74,7 +74,7 @@
         backoff = self.backoff(deadline)
         while True:
             with execution.steps.measure("primary"):
-                target = await group.wait_for_proven_primary(deadline)
+                target = await group.wait_for_proven_primary(deadline, commits=True)
             link = await self.acquire_link(execution, group, target, route, deadline)
             if link is None:
                 await backoff.pause("the primary cannot be reached")
@@ -138,18 +138,25 @@
             )
         if answer.ok:
             with execution.steps.measure("proof"):
-                await self.check_commit(group, target)
+                await self.check_commit(group, target, answer)
         if answer.ok and answer.position is not None:
             group.record_primary(target, answer.position, requested_at)
             execution.session.record_commit(answer.position, boottime())
         return answer
 
-    async def check_commit(self, group: Group, target: Target) -> None:
-        """Raise StatementError unless a commit was answered by a proven primary.
+    async def check_commit(
+        self, group: Group, target: Target, answer: Answer, has_written: bool = True
+    ) -> None:
+        """Raise StatementError unless a commit is proven to be kept.
 
-        Commits of a target that has been replaced are rolled back.
+        Commits of a target that has been replaced are rolled back. One that wrote
+        nothing must only have been answered by the primary.
         """
-        if not await group.confirm_primary(target, boottime()):
+        if has_written:
+            kept = await group.confirm_commit(target, answer.position, boottime())
+        else:
+            kept = await group.confirm_primary(target, boottime())
+        if not kept:
             raise StatementError(
                 Failure.UNKNOWN_OUTCOME,
                 f"{target.id} may have been replaced before the commit",
--- a/src/rosemaryridge/core/_transaction.py
+++ b/src/rosemaryridge/core/_transaction.py
@@ -20,6 +20,9 @@
 from rosemaryridge.core.commands import TargetLink
 from rosemaryridge.core.commands import Urgency
 
+# Retry-After of a COMMIT that was not sent, as the primary is being replaced.
+_REPLACED_RETRY_S = 0.5
+
 
 class Transaction:
     """Run a transaction's statements on a connection that is acquired at BEGIN.
@@ -131,6 +134,7 @@
 
     async def _commit(self, execution: Execution, deadline: float) -> Answer:
         target, link = await self._wait_until_open(execution, deadline)
+        await self._check_before_commit(execution, target)
         backoff = self._runner.backoff(deadline)
         while True:
             requested_at = boottime()
@@ -144,10 +148,26 @@
         self._runner.release(self._group, target, link, answer, pinned=True)
         if answer.ok and not self._any_target:
             with execution.steps.measure("proof"):
-                await self._runner.check_commit(self._group, target)
+                await self._runner.check_commit(
+                    self._group, target, answer, self._has_written
+                )
         self._record_commit(answer, target, requested_at)
         return answer.in_state(TransactionState.IDLE)
 
+    async def _check_before_commit(self, execution: Execution, target: Target) -> None:
+        """Raise StatementError if synchronous replicas might lose the commit.
+
+        Nothing has been sent yet, so that the caller may safely repeat it.
+        """
+        if not self._group.sync_replicas or not self._has_written:
+            return
+        with execution.steps.measure("proof"):
+            may_commit = await self._group.may_commit(target)
+        if not may_commit:
+            raise StatementError(
+                Failure.ABORTED, f"{target.id} is being replaced", _REPLACED_RETRY_S
+            )
+
     def _record_commit(
         self, answer: Answer, target: Target, requested_at: float
     ) -> None:
@@ -259,7 +279,7 @@
                 )
             tried.add(target.id)
         else:
-            target = await self._group.wait_for_proven_primary(deadline)
+            target = await self._group.wait_for_proven_primary(deadline, commits=True)
         link = await self._runner.acquire_link(
             self._begin_execution,
             self._group,
--- a/src/rosemaryridge_testbed/schedules/__main__.py
+++ b/src/rosemaryridge_testbed/schedules/__main__.py
@@ -16,15 +16,23 @@
 @click.option("--late-orders", default=0.0, help="Share of orders carried out late.")
 @click.option("--owned", is_flag=True, help="Reach targets through owners.")
 @click.option("--sync", is_flag=True, help="A replica has each acknowledged commit.")
+@click.option("--fenced", is_flag=True, help="Outdated orders are refused.")
 @click.option("--trace", is_flag=True, help="Print the log lines and the faults.")
 def main(
-    schedules: int, seed: int, late_orders: float, owned: bool, sync: bool, trace: bool
+    schedules: int,
+    seed: int,
+    late_orders: float,
+    owned: bool,
+    sync: bool,
+    fenced: bool,
+    trace: bool,
 ) -> None:
     """Explore schedules; exit with status 1 if a promise was broken."""
     options = dataclasses.replace(
         OWNED_OPTIONS if owned else Options(),
         late_orders=late_orders,
         sync_replicas=int(sync),
+        fenced=fenced,
     )
     totals: collections.Counter[str] = collections.Counter()
     broken = 0
--- a/src/rosemaryridge_testbed/schedules/_explore.py
+++ b/src/rosemaryridge_testbed/schedules/_explore.py
@@ -70,6 +70,7 @@
             self.rng, options.targets, options.promotion_s, options.work_s
         )
         world.sync_replicas = options.sync_replicas
+        world.fenced = options.fenced
         self._streams = Streams(world)
         if options.owned:
             for target in world.targets.values():
--- a/src/rosemaryridge_testbed/schedules/_proxy.py
+++ b/src/rosemaryridge_testbed/schedules/_proxy.py
@@ -35,11 +35,12 @@
 class Options:
     """Set the size of a schedule; a command occupies its target for up to `work_s`.
 
-    `proofs` is false to trust primaries without a proof. `late_orders` is the share of
-    promotion orders that are carried out late. With `owned`, targets accept fewer
-    connections than there are proxies, which reach them through owners; proxies are
-    killed too. With `sync_replicas`, a commit is acknowledged once a replica has it;
-    `tells_sync` is whether the proxies know.
+    `proofs` is false to trust primaries without a proof. With `fenced`, outdated orders
+    are refused, and a promotion deposes the former primary wherever it is.
+    `late_orders` is the share of promotion orders that are carried out late. With
+    `owned`, targets accept fewer connections than there are proxies, which reach them
+    through owners; proxies are killed too. With `sync_replicas`, a commit is
+    acknowledged once a replica has it; `tells_sync` is whether the proxies know.
     """
 
     targets: int = 3
@@ -52,6 +53,7 @@
     late_orders: float = 0.0
     restored_stores: bool = True
     proofs: bool = True
+    fenced: bool = False
     owned: bool = False
     sync_replicas: int = 0
     tells_sync: bool = True
@@ -103,7 +105,7 @@
             shares,
             log,
             rng,
-            options.proofs,
+            options.proofs and not options.fenced,
             era,
         )
         self.proxy = Proxy(
@@ -117,6 +119,7 @@
         self.claims = ClaimCache(t.cast(t.Any, store), log, era)
         if options.proofs:
             self.proxy.directory.claims = self.claims
+            self.proxy.directory.deposed_go_on = not options.fenced
         self.alive = True
         self._links: list[ModelLink] = []
         routes = {route.database: route for route in options.routes}
--- a/src/rosemaryridge_testbed/schedules/_world.py
+++ b/src/rosemaryridge_testbed/schedules/_world.py
@@ -70,6 +70,10 @@
         # Orders as (fence, target), in the order in which they were sent.
         self.orders: list[tuple[int, str]] = []
         self.promotions = 0
+        # Whether an order with a lower fence than one seen before is refused, and a
+        # promotion ends the former primary wherever it is.
+        self.fenced = False
+        self.newest_fence = 0
         self.sync_replicas = 0
         # Replicas that receive nothing.
         self.deaf: set[str] = set()
@@ -120,6 +124,13 @@
                 if target is not leader:
                     target.follow(leader)
 
+    def admits(self, fence: int) -> bool:
+        """Return whether an order is not outdated by its fence; take note of it."""
+        if self.fenced and fence < self.newest_fence:
+            return False
+        self.newest_fence = max(self.newest_fence, fence)
+        return True
+
     async def promote(self, name: str) -> None:
         """Make a target the primary of the next term, unless it does not run."""
         await asyncio.sleep(self.promotion_s * self.rng.uniform(0.7, 1.3))
@@ -134,7 +145,8 @@
         target.leads_term = target.term = self.term
         for other in self.targets.values():
             other.held_term = 0
-        if former is not target and self.reach(former.name, name):
+        reached = self.fenced or self.reach(former.name, name)
+        if former is not target and reached:
             former.leads_term = None
 
 
@@ -516,13 +528,14 @@
             await asyncio.sleep(_CALL_TIMEOUT_S)
             raise StoreUnavailable("no answer")
         if world.rng.random() < self._late:
-            world.spawn(self._carry_out_late(target))
+            world.spawn(self._carry_out_late(target, fence))
             await asyncio.sleep(_CALL_TIMEOUT_S)
             raise StoreUnavailable("no answer")
-        if world.targets[target].crashed:
+        if world.targets[target].crashed or not world.admits(fence):
             raise FenceRefused(fence)
         world.spawn(world.promote(target))
 
-    async def _carry_out_late(self, target: str) -> None:
+    async def _carry_out_late(self, target: str, fence: int) -> None:
         await asyncio.sleep(self._world.rng.uniform(0.5, 5.0))
-        await self._world.promote(target)
+        if self._world.admits(fence):
+            await self._world.promote(target)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -225,6 +225,90 @@
         self.assertEqual(names, ["primary_unproven"])
 
 
+class CommitProofTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against commits that an order which is carried out late rolls back.
+
+    "a" leads; the order was given for "b" before the commit, and takes effect after it.
+    """
+
+    async def asyncSetUp(self):
+        self.store = StubStore()
+        self.claims = ClaimCache(self.store, StubLog())
+        self.log = StubLog()
+        self.conditions = {"b": condition((1, 50)), "c": condition((1, 50))}
+        self.asked = 0
+        self.leadership = Leadership(
+            "books",
+            self.claims,
+            lambda name: [other for other in self.conditions if other != name],
+            self.deny,
+            self.log,
+            ask_condition=self.ask,
+        )
+
+    async def deny(self, name):
+        return False
+
+    async def ask(self, name):
+        self.asked += 1
+        return self.conditions[name]
+
+    async def claim_is_pending(self, target="b"):
+        self.store.claim("books", 1, target)
+        await self.claims.refresh(boottime() - 1.0)
+        self.claims._seen_at["books"] -= 10.0
+
+    async def kept(self, position):
+        with mock.patch("rosemaryridge.core._leadership._RECEIPT_WAIT_S", 0.1):
+            return await self.leadership.confirm_commit(
+                "a", Position(*position), boottime()
+            )
+
+    async def test_a_lease_needs_no_receipt(self):
+        self.assertTrue(await self.kept((1, 60)))
+        self.assertEqual(self.asked, 0)
+
+    async def test_a_commit_under_a_pending_claim_needs_all_receipts(self):
+        # The order was carried out 10 s late: 5 of 4,269 acknowledged writes were lost.
+        await self.claim_is_pending()
+        self.assertTrue(await self.leadership.confirm("a", boottime()))
+        self.assertTrue(await self.kept((1, 50)))
+        self.conditions["b"] = condition((1, 49))
+        self.assertFalse(await self.kept((1, 50)))
+
+    async def test_a_vote_without_the_store_keeps_no_commit(self):
+        # A proxy that reaches the store may have ordered the promotion of "b".
+        self.store.error = StoreUnavailable("away")
+        self.conditions["b"] = condition((1, 49))
+        self.assertTrue(await self.leadership.confirm("a", boottime()))
+        self.assertFalse(await self.kept((1, 50)))
+
+    async def test_a_receipt_that_arrives_in_time_is_awaited(self):
+        await self.claim_is_pending()
+        loop = asyncio.get_running_loop()
+        self.conditions["b"] = condition((1, 49))
+        late = {"b": condition((1, 51))}
+        loop.call_later(0.05, self.conditions.update, late)
+        self.assertTrue(await self.kept((1, 50)))
+
+    async def test_a_silent_replica_or_a_newer_term_proves_nothing(self):
+        await self.claim_is_pending()
+        for other in (None, condition((2, 90), term=2)):
+            self.conditions["c"] = other
+            self.assertFalse(await self.kept((1, 50)))
+
+    async def test_a_claimed_target_that_is_not_listed_has_received_nothing(self):
+        await self.claim_is_pending("d")
+        self.assertFalse(await self.kept((1, 50)))
+
+    async def test_a_group_of_one_target_keeps_no_commit(self):
+        await self.claim_is_pending("")
+        self.store.error = StoreUnavailable("away")
+        self.conditions.clear()
+        self.claims.requested_at = float("-inf")
+        self.assertFalse(await self.kept((1, 50)))
+
+
 class GroupProofTest(GroupCase):
     def proven_group(self, *names):
         group = self.group(*names)
@@ -285,6 +369,21 @@
         group = self.group("a", "b")
         self.assertTrue(await group.confirm_primary(group.targets["a"], boottime()))
 
+    async def test_where_fences_are_checked_only_synchronous_commits_are_proven(self):
+        group = self.group("a", "b")
+        store = StubStore()
+        store.claim("books", 1, "b")
+        group.require_proof(ClaimCache(store, StubLog()), deposed_go_on=False)
+        primary = group.targets["a"]
+        self.assertTrue(await group.may_commit(primary))
+        self.assertTrue(await group.confirm_commit(primary, Position(1, 1), boottime()))
+        self.assertEqual(store.lists, 0)
+        group.sync_replicas = 1
+        group.probe_primary = self.no_answer
+        self.assertTrue(await group.confirm_primary(primary, boottime()))
+        self.assertFalse(await group.may_commit(primary))
+        self.assertEqual(store.lists, 1)
+
 
 class PlannedReplacementTest(GroupCase):
     """Guard against commits that a planned replacement rolls back."""
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -17,6 +17,8 @@
 from rosemaryridge_testbed.schedules import explore
 
 _SEEDS = range(1, 25)
+# The first three lost 9, 12 and 2 acknowledged writes.
+_LATE_ORDER_SEEDS = (513, 586, 825, *range(1, 9))
 _DEFAULT = Options()
 
 
@@ -40,6 +42,12 @@
     def test_synchronous_replicas_lose_nothing_that_was_acknowledged(self):
         self.assertEqual(self.violations(Options(sync_replicas=1)), {})
 
+    def test_synchronous_replicas_lose_nothing_by_late_orders(self):
+        # An order without an answer was carried out after writes had been acknowledged.
+        for fenced in (False, True):
+            options = Options(sync_replicas=1, late_orders=0.3, fenced=fenced)
+            self.assertEqual(self.violations(options, _LATE_ORDER_SEEDS), {})
+
     def test_schedules_serve_and_promote(self):
         results = [explore(seed) for seed in _SEEDS[:8]]
         self.assertGreater(sum(result.acknowledged for result in results), 500)
@@ -82,7 +90,7 @@
             self.assert_found("one")
 
     def test_commits_that_are_not_checked_after_their_answer(self):
-        async def check_commit(self, group, target):
+        async def check_commit(self, *args):
             pass
 
         with mock.patch.object(Runner, "check_commit", check_commit):
