Choose a synchronous successor after the leases, without a hold

Cause: the promise that nothing more is acknowledged until a promotion takes effect lay in PAUSE and RESUME, which have no fence, come late, end by a restart and outlive their sender.

Change: after its claim a proxy waits until no lease on the former primary is left, then reads what the replicas have received, and chooses. The hold and its module are gone.

--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -11,12 +11,12 @@
 from rosemaryridge.core._group import PROBE_TIMEOUT_S
 from rosemaryridge.core._group import Group
 from rosemaryridge.core._holders import silent_replicas
-from rosemaryridge.core._replica_hold import ReplicaHold
 from rosemaryridge.core._shares import Shares
 from rosemaryridge.core._statement import TargetCondition
 from rosemaryridge.core._successor import AMBIGUOUS_REASONS
 from rosemaryridge.core._successor import PLANNED_REASONS
 from rosemaryridge.core._successor import OrderState
+from rosemaryridge.core._successor import PromotionDecision
 from rosemaryridge.core._successor import Reason
 from rosemaryridge.core._successor import all_lag
 from rosemaryridge.core._successor import choose_most_advanced
@@ -116,8 +116,7 @@
         deposed_go_on: bool = False,
         era: StoreEra | None = None,
     ):
-        # A deposed primary that goes on is trusted until the leases have expired.
-        self._order_delay_s = PROMOTION_DELAY_S if deposed_go_on else 0.0
+        self._deposed_go_on = deposed_go_on
         self._vm = vm
         self._orders = orders
         self._shares = shares
@@ -128,6 +127,15 @@
         self._claims = ClaimRegister(store, self._era, not deposed_go_on)
         self.stopping = False
 
+    def _order_delay_s(self, group: Group) -> float:
+        """Return the time from a claim until its order may be sent.
+
+        A deposed primary that goes on, and commits of synchronous replicas, are trusted
+        until the leases have expired.
+        """
+        needs_leases = self._deposed_go_on or group.sync_replicas > 0
+        return PROMOTION_DELAY_S if needs_leases else 0.0
+
     def on_suspect(self, group: Group) -> None:
         """Start a failover check of a group unless one is running."""
         task = self._tasks.get(group.service)
@@ -223,23 +231,18 @@
             conditions,
             accept_partial,
         )
-        hold = ReplicaHold(group, self._log)
-        has_primary = False
-        try:
-            has_primary = await self._carry_out(group, plan, hold)
-        finally:
-            if not has_primary:
-                await hold.release()
-        return has_primary
+        return await self._carry_out(group, plan)
 
-    async def _carry_out(self, group: Group, plan: "_Plan", hold: ReplicaHold) -> bool:
+    async def _carry_out(self, group: Group, plan: "_Plan") -> bool:
         """Claim and order a promotion; return whether the group has its primary.
 
-        Synchronous replicas are held before one of them is chosen: the former primary
-        may only be silent to this proxy, and could go on acknowledging.
+        With synchronous replicas the successor is chosen once the leases have ended:
+        the former primary may only be silent to this proxy, and could go on. What it
+        acknowledges after that is passed on to no caller.
         """
         old, successor, claim = plan.old, plan.successor, plan.claim
         conditions, era = plan.conditions, plan.era
+        delay_s = self._order_delay_s(group)
         new_claim = Claim(
             next_fence(claim.fence, era),
             self._vm,
@@ -252,7 +255,7 @@
         if not revision or self._era.current != era:
             return False
         self._log_order(group, plan, new_claim)
-        due_at = boottime() + self._order_delay_s
+        due_at = boottime() + delay_s
         is_planned = old is not None and plan.reason in PLANNED_REASONS
         has_stepped_down = False
         if is_planned:
@@ -261,25 +264,18 @@
                 await self._claim_for(group, new_claim, old, revision)
                 return not old.draining
             successor, has_stepped_down = step_down.successor, step_down.done
-        if group.sync_replicas and not has_stepped_down:
-            held = await hold.start(new_claim.term + 1, conditions)
-            decision = choose_successor(
-                group, claim, held, plan.accept_partial, plan.last_order
-            )
-            if decision.target is None:
-                self._log_not_promoted(group, plan.reason, decision.why)
+        chooses_later = group.sync_replicas > 0 and not has_stepped_down
+        if not chooses_later:
+            new_claim = await self._claim_for(group, new_claim, successor, revision)
+            if new_claim is None:
                 return False
-            successor = decision.target
-        new_claim = await self._claim_for(group, new_claim, successor, revision)
-        if new_claim is None:
-            return False
         if (
             has_stepped_down
             or not is_planned
             and leader_has_denied(group, claim, conditions)
         ):
             due_at = boottime()
-        elif self._order_delay_s and not is_planned:
+        elif delay_s and not is_planned:
             self._log.write(
                 "promotion_waits",
                 service=group.service,
@@ -288,7 +284,16 @@
                 why="other proxies may hold leases on the former primary",
             )
         await asyncio.sleep(due_at - boottime())
-        expires_at = self._claims.order_expires_at(claimed_at, self._order_delay_s)
+        if chooses_later:
+            decision = await self._choose_after_leases(group, plan)
+            if decision.target is None:
+                self._log_not_promoted(group, plan.reason, decision.why)
+                return False
+            successor = decision.target
+            new_claim = await self._claim_for(group, new_claim, successor, revision)
+            if new_claim is None:
+                return False
+        expires_at = self._claims.order_expires_at(claimed_at, delay_s)
         if boottime() - claimed_at > _CLAIM_RECHECK_S and not await self._is_stored(
             group, new_claim, expires_at
         ):
@@ -300,6 +305,21 @@
             lambda: boottime() < expires_at and self._era.current == era,
         )
 
+    async def _choose_after_leases(
+        self, group: Group, plan: "_Plan"
+    ) -> PromotionDecision:
+        """Choose the successor by what the targets have received by now."""
+        conditions = await self._fetch_conditions_of(group.targets.values())
+        self._log.write(
+            "successor_chosen",
+            service=group.service,
+            received={name: str(cond.received) for name, cond in conditions.items()},
+            silent=sorted(group.targets.keys() - conditions.keys()),
+        )
+        return choose_successor(
+            group, plan.claim, conditions, plan.accept_partial, plan.last_order
+        )
+
     async def _claim_for(
         self, group: Group, claim: Claim, successor: Target, revision: int
     ) -> Claim | None:
@@ -427,10 +447,16 @@
         others = [
             tgt for tgt in group.targets.values() if tgt is not group.primary_target
         ]
-        answers = await asyncio.gather(*map(self._fetch_condition, others))
+        return await self._fetch_conditions_of(others)
+
+    async def _fetch_conditions_of(
+        self, targets: t.Iterable[Target]
+    ) -> dict[str, TargetCondition]:
+        targets = list(targets)
+        answers = await asyncio.gather(*map(self._fetch_condition, targets))
         return {
             target.id: answer
-            for target, answer in zip(others, answers, strict=True)
+            for target, answer in zip(targets, answers, strict=True)
             if answer is not None
         }
 
@@ -441,12 +467,12 @@
 
     def _is_blocked_by(self, group: Group, claim: Claim, revision: int) -> bool:
         return self._claims.is_blocked_by(
-            group.service, claim, revision, group.term, self._order_delay_s
+            group.service, claim, revision, group.term, self._order_delay_s(group)
         )
 
     def _order_state(self, group: Group, claim: Claim, revision: int) -> OrderState:
         return self._claims.order_state(
-            group.service, claim, revision, self._order_delay_s
+            group.service, claim, revision, self._order_delay_s(group)
         )
 
     async def _promote(
@@ -456,6 +482,18 @@
         fence: int,
         may_send: t.Callable[[], bool],
     ) -> bool:
+        if await self._send_order(group, target, fence, may_send) is False:
+            return False
+        return await self._wait_until_primary(group, target)
+
+    async def _send_order(
+        self,
+        group: Group,
+        target: Target,
+        fence: int,
+        may_send: t.Callable[[], bool],
+    ) -> bool | None:
+        """Order a promotion; return whether it was accepted, None if unknown."""
         try:
             await self._orders.promote(group.service, target.id, fence, may_send)
         except OrderExpired:
@@ -480,7 +518,8 @@
             self._log_not_promoted(
                 group, None, f"promotion order for {target.id} failed: {exc}"
             )
-        return await self._wait_until_primary(group, target)
+            return None
+        return True
 
     async def _wait_until_primary(self, group: Group, target: Target) -> bool:
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/integration/test_site_synchronous.py
@@ -0,0 +1,89 @@
+"""Test that synchronous replicas lose no commit, on the platform emulator."""
+
+import asyncio
+
+from rosemaryridge.core.store import CLAIMS_KIND
+from rosemaryridge_testbed.fleet import eventually
+from rosemaryridge_testbed.site import SiteOptions
+from tests.integration.test_site import SiteCase
+
+# `recovery_s` of the platform.
+_RECOVERY_S = 12.0
+
+
+class SynchronousCase(SiteCase):
+    """Crash the primary, and keep what callers were told was written."""
+
+    proxies = 3
+    options = SiteOptions(sync_replicas=1, promotion_delay_s=0.6)
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.acknowledged = []
+        writing = asyncio.create_task(self.write())
+        self.tasks.append(writing)
+        await self.until(lambda: len(self.acknowledged) > 20)
+
+    async def write(self):
+        """Write through each proxy in turn until cancelled."""
+        clients, number = {}, 0
+        while True:
+            number += 1
+            proxy = number % self.proxies
+            try:
+                if proxy not in clients:
+                    clients[proxy] = await self.client("books-orders", proxy)
+                reply = await clients[proxy].execute(f"WRITE k d{number}")
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                clients.pop(proxy, None)
+                await asyncio.sleep(0.02)
+                continue
+            if not reply.code:
+                self.acknowledged.append(f"d{number}")
+            await asyncio.sleep(0.01)
+
+    async def until_served(self):
+        """Wait until another 20 writes were acknowledged, within `recovery_s`."""
+        before = len(self.acknowledged)
+        await eventually(lambda: len(self.acknowledged) > before + 20, _RECOVERY_S)
+
+    def claim(self):
+        """Return the last claim, empty without one."""
+        stored = self.site.store.objects.get(CLAIMS_KIND, {}).get("books")
+        return stored["spec"] if stored else {}
+
+    def assert_kept(self):
+        kept = {commit.data for commit in self.group.targets[self.group.primary].log}
+        lost = [data for data in self.acknowledged if data not in kept]
+        self.assertEqual(lost, [])
+
+    def on_order(self, strike):
+        """Call a function with a target's name once its promotion is ordered."""
+        promote = self.group.promote
+
+        async def promote_after_strike(name):
+            await strike(name)
+            await promote(name)
+
+        self.group.promote = promote_after_strike
+
+    async def restart_primary(self):
+        await self.target(0).restart()
+        self.site.register(self.target(0))
+
+
+class PromotionTest(SynchronousCase):
+    async def test_no_order_decides_what_a_replica_receives(self):
+        # A RESUME that was carried out late ended the hold of the next attempt, and the
+        # former primary went on acknowledging.
+        async def strike(name):
+            await self.restart_primary()
+            for target in self.group.targets.values():
+                if target.name != name:
+                    await target._resume(None, "")
+
+        self.on_order(strike)
+        await self.target(0).crash()
+        await self.until(lambda: self.group.term == 2)
+        await self.until_served()
+        self.assert_kept()
