Read the list of targets before a synchronous successor is chosen

Cause: the list of replicas was fixed before the order, and a proxy's list is up to 3 s behind the store.

One call a promotion, only with sync_replicas.

--- a/src/rosemaryridge/cli/entry.py
+++ b/src/rosemaryridge/cli/entry.py
@@ -14,6 +14,7 @@
 from rosemaryridge.core import ClaimCache
 from rosemaryridge.core import EventLog
 from rosemaryridge.core import Failover
+from rosemaryridge.core import Group
 from rosemaryridge.core import MirrorMonitor
 from rosemaryridge.core import Peer
 from rosemaryridge.core import Peers
@@ -109,6 +110,7 @@
             cfg.deposed_go_on,
             self._era,
         )
+        self._failover.refresh_targets = self._add_missing_targets
         surroundings = Surroundings(cfg.failure_domain, cfg.regions)
         self._surroundings = surroundings
         # Reaches targets through their owners; None while no target has fewer
@@ -462,6 +464,13 @@
         self._update_owners()
         self._proxy.check_ready()
 
+    async def _add_missing_targets(self, group: Group) -> None:
+        """Add targets that the mirror has not reported; raise StoreError."""
+        listing = await self._store.list(documents.TARGETS_KIND)
+        infos = (self._decode_target(stored) for stored in listing.objects)
+        known = [info for info in infos if info is not None]
+        self._proxy.directory.add_missing(group.service, known)
+
     def _apply_target_change(self, change: Change) -> None:
         info = None if change.removed else self._decode_target(change.object)
         if info is not None:
--- a/src/rosemaryridge/core/_directory.py
+++ b/src/rosemaryridge/core/_directory.py
@@ -159,6 +159,16 @@
             self.put(info)
         self.is_loaded = True
 
+    def add_missing(self, service: str, infos: t.Iterable[TargetInfo]) -> None:
+        """Add the targets of a service that are not known yet.
+
+        The registrations of known ones may be older than those that are in force.
+        """
+        group = self.group(service)
+        for info in infos:
+            if info.service == service and info.id not in group.targets:
+                self.put(info)
+
     def put(self, info: TargetInfo) -> None:
         """Add or update a target from its registration."""
         group = self.group(info.service)
--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -102,6 +102,10 @@
     accept_partial: bool
 
 
+async def _no_refresh(group: Group) -> None:
+    return None
+
+
 class Failover:
     """Order the promotion of a replica when a group's primary must be replaced."""
 
@@ -126,6 +130,8 @@
         self._era = era or StoreEra(log)
         self._claims = ClaimRegister(store, self._era, not deposed_go_on)
         self.stopping = False
+        # Adds the targets that have registered since the list was last reported.
+        self.refresh_targets: t.Callable[[Group], t.Awaitable[None]] = _no_refresh
 
     def _order_delay_s(self, group: Group) -> float:
         """Return the time from a claim until its order may be sent.
@@ -308,7 +314,11 @@
     async def _choose_after_leases(
         self, group: Group, plan: "_Plan"
     ) -> PromotionDecision:
-        """Choose the successor by what the targets have received by now."""
+        """Choose the successor by what the targets have received by now.
+
+        Targets that joined meanwhile may hold what the former primary acknowledged.
+        """
+        await self.refresh_targets(group)
         conditions = await self._fetch_conditions_of(group.targets.values())
         self._log.write(
             "successor_chosen",
--- a/tests/integration/test_site_synchronous.py
+++ b/tests/integration/test_site_synchronous.py
@@ -5,6 +5,7 @@
 from rosemaryridge.core.store import CLAIMS_KIND
 from rosemaryridge_testbed.fleet import eventually
 from rosemaryridge_testbed.site import SiteOptions
+from rosemaryridge_testbed.site._target import SiteTarget
 from tests.integration.test_site import SiteCase
 
 # `recovery_s` of the platform.
@@ -73,6 +74,21 @@
 
 
 class PromotionTest(SynchronousCase):
+    async def test_a_replica_that_joins_before_a_promotion_takes_effect(self):
+        # The former primary was back and acknowledged by the replica that joined.
+        async def strike(name):
+            joined = SiteTarget("books-9", self.group, report=self.site.register)
+            await joined.start()
+            self.addAsyncCleanup(joined.crash)
+            self.site.register(joined)
+            await self.restart_primary()
+
+        self.on_order(strike)
+        await self.target(0).crash()
+        await self.until(lambda: self.group.term == 2)
+        await self.until_served()
+        self.assert_kept()
+
     async def test_no_order_decides_what_a_replica_receives(self):
         # A RESUME that was carried out late ended the hold of the next attempt, and the
         # former primary went on acknowledging.
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -1,6 +1,7 @@
 """Test whom a failover promotes, with the store, orders and targets as stubs."""
 
 import asyncio
+import copy
 import dataclasses
 import random
 import types
@@ -262,6 +263,23 @@
 
         self.assertIn("b may hold acknowledged commits", run_virtually(run))
 
+    def test_a_replica_that_joins_before_the_choice_may_be_chosen(self):
+        # Proxies learn of an entry up to 3 s late; it may alone have the last commits.
+        async def run():
+            fleet = Fleet()
+            fleet.report(b=(1, 50), c=(1, 40))
+
+            async def add_missing(group):
+                joined = copy.copy(group.targets["c"])
+                joined.info = info("d")
+                group.targets["d"] = joined
+                fleet.conditions["d"] = condition((1, 60))
+
+            fleet.failover.refresh_targets = add_missing
+            return await fleet.replace()
+
+        self.assertEqual(run_virtually(run), ["d"])
+
     def test_an_order_follows_the_leases_where_fences_are_checked_too(self):
         # Without synchronous replicas, nothing is leased there.
         async def run(sync_replicas):
