Settle a claim whose primary leads on

Cause: a claim, and what was done in its name, had no end but by the process that had made it.

Change: a primary that leads on under a claim that names another target is a reason to act for any proxy. Where fences are checked, a claim that names nobody, the wait for the leases, and an order for the present primary with a higher fence void what may still be carried out; only then is the primary named and so leased. Elsewhere the claim is settled by its age. A primary that is back before the order is kept.

--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -28,6 +28,7 @@
 from rosemaryridge.core.promotions import ClaimRegister
 from rosemaryridge.core.promotions import ClaimStore
 from rosemaryridge.core.store import PROMOTION_DELAY_S
+from rosemaryridge.core.store import UNDECIDED_TARGET
 from rosemaryridge.core.store import Claim
 from rosemaryridge.core.store import StoreEra
 from rosemaryridge.core.store import next_fence
@@ -59,6 +60,8 @@
 # than _ORDER_EXPIRY_S, so that the order may still be sent.
 _STEP_DOWN_TIMEOUT_S = 1.5
 _RETRY_S = 0.3
+# Time between two looks at a claim whose order may still be carried out.
+_SETTLE_RETRY_S = 2.0
 # Start delays are spread over this time per proxy: among many proxies that detect the
 # same failure, one acts within some tens of ms and few others act at all.
 _START_SPREAD_PER_PROXY_S = 0.02
@@ -182,6 +185,8 @@
     async def _replace(
         self, group: Group, reason: Reason, accept_partial: bool
     ) -> bool:
+        if reason is Reason.UNSETTLED:
+            return await self._settle(group)
         old, era = group.primary_target, self._era.current
         # A stale read is cheap and enough for most proxies; those that go on to act
         # read the claim again.
@@ -220,6 +225,11 @@
                 return False
             order = self._order_state(group, claim, revision)
             decision = choose_successor(group, claim, conditions, accept_partial, order)
+        newest_term = max(cond.term for cond in conditions.values())
+        # An order for the present primary changes nothing, and later is refused.
+        names_primary = old is not None and claim.target == old.id
+        if newest_term > claim.term or names_primary and not self._deposed_go_on:
+            order = OrderState.ENDED
         if decision.target is None:
             self._log_not_promoted(group, reason, decision.why)
             if decision.primary is not None:
@@ -253,7 +263,7 @@
             next_fence(claim.fence, era),
             self._vm,
             max([group.term, *(cond.term for cond in conditions.values())]),
-            successor.id,
+            _interim_target(group, plan),
             old.id if old else claim.target,
         )
         claimed_at = boottime()
@@ -267,7 +277,9 @@
         if is_planned:
             step_down = await self._step_down(group, old, successor, new_claim.term)
             if not step_down.done and step_down.successor is old:
-                await self._claim_for(group, new_claim, old, revision)
+                # An earlier order may depose it: the claim is settled later then.
+                if plan.last_order is OrderState.ENDED or not group.sync_replicas:
+                    await self._claim_for(group, new_claim, old, revision)
                 return not old.draining
             successor, has_stepped_down = step_down.successor, step_down.done
         chooses_later = group.sync_replicas > 0 and not has_stepped_down
@@ -291,7 +303,17 @@
             )
         await asyncio.sleep(due_at - boottime())
         if chooses_later:
-            decision = await self._choose_after_leases(group, plan)
+            decision, term = await self._choose_after_leases(group, plan)
+            expires_at = self._claims.order_expires_at(claimed_at, delay_s)
+            if decision.leads:
+                return await self._keep_primary(
+                    group,
+                    plan,
+                    decision.primary,
+                    dataclasses.replace(new_claim, term=term),
+                    revision,
+                    lambda: boottime() < expires_at and self._era.current == era,
+                )
             if decision.target is None:
                 self._log_not_promoted(group, plan.reason, decision.why)
                 return False
@@ -313,10 +335,11 @@
 
     async def _choose_after_leases(
         self, group: Group, plan: "_Plan"
-    ) -> PromotionDecision:
+    ) -> tuple[PromotionDecision, int]:
         """Choose the successor by what the targets have received by now.
 
         Targets that joined meanwhile may hold what the former primary acknowledged.
+        Returns the newest term as well.
         """
         await self.refresh_targets(group)
         conditions = await self._fetch_conditions_of(group.targets.values())
@@ -326,9 +349,70 @@
             received={name: str(cond.received) for name, cond in conditions.items()},
             silent=sorted(group.targets.keys() - conditions.keys()),
         )
-        return choose_successor(
+        decision = choose_successor(
             group, plan.claim, conditions, plan.accept_partial, plan.last_order
         )
+        return decision, max((cond.term for cond in conditions.values()), default=0)
+
+    async def _settle(self, group: Group) -> bool:
+        """End a claim whose order has not replaced the primary.
+
+        Without synchronous replicas votes go round such a claim.
+        """
+        primary, era = group.primary_target, self._era.current
+        claim, revision = await self._claims.read(group.service, group.term)
+        if primary is None or claim.target == primary.id:
+            return True
+        if self._is_blocked_by(group, claim, revision):
+            return False
+        order = self._order_state(group, claim, revision)
+        if order is OrderState.PENDING:
+            self._log_not_promoted(
+                group, Reason.UNSETTLED, f"{claim.target} may still be promoted"
+            )
+            await asyncio.sleep(_SETTLE_RETRY_S)
+            return True
+        plan = _Plan(
+            Reason.UNSETTLED, primary, primary, claim, revision, era, order, {}, False
+        )
+        return await self._carry_out(group, plan)
+
+    async def _keep_primary(
+        self,
+        group: Group,
+        plan: "_Plan",
+        primary: Target,
+        claim: Claim,
+        revision: int,
+        may_send: t.Callable[[], bool],
+    ) -> bool:
+        """Settle this proxy's claim on a group whose primary leads on.
+
+        An earlier order that may still be carried out is voided first, by one for the
+        primary with a higher fence, which changes nothing. Only then is the primary
+        named, and so leased. Where fences are not checked nothing voids an order.
+        """
+        if plan.last_order is OrderState.PENDING:
+            why = f"{primary.id} leads, and {plan.claim.target} may still be promoted"
+            self._log_not_promoted(group, plan.reason, why)
+            return False
+        if plan.last_order is OrderState.VOIDED_BY_NEXT and not await self._send_order(
+            group, primary, claim.fence, may_send
+        ):
+            return False
+        settled = Claim(claim.fence + 1, self._vm, claim.term - 1, primary.id)
+        if not await self._claims.put(group.service, settled, revision):
+            return False
+        self._log.write(
+            "claim_settled",
+            service=group.service,
+            primary=primary.id,
+            term=claim.term,
+            fence=settled.fence,
+            last_order=plan.last_order.value,
+        )
+        await group.probe_primary(primary)
+        return True
 
     async def _claim_for(
         self, group: Group, claim: Claim, successor: Target, revision: int
@@ -554,6 +638,17 @@
         )
 
 
+def _interim_target(group: Group, plan: _Plan) -> str:
+    """Return whom a claim names until its successor is chosen.
+
+    The target of an earlier order that may still be carried out would lead with a
+    lease, although another one is promoted afterwards: nobody is named then.
+    """
+    if group.sync_replicas and plan.last_order is OrderState.VOIDED_BY_NEXT:
+        return UNDECIDED_TARGET
+    return plan.successor.id
+
+
 def _is_silent(target: Target | None) -> bool:
     """Return whether a target does not answer, though nothing refuses connections."""
     return (
--- a/src/rosemaryridge/core/_group.py
+++ b/src/rosemaryridge/core/_group.py
@@ -150,10 +150,24 @@
             return True
         return await self._confirm_lead(self._leadership, target, boottime())
 
+    def has_unsettled_claim(self) -> bool:
+        """Return whether the primary leads on under a claim that names another target.
+
+        Its commits of synchronous replicas need the receipts of all others until then.
+        """
+        return (
+            self._leadership is not None
+            and self.sync_replicas > 0
+            and self.primary is not None
+            and self._leadership.is_unsettled(self.primary)
+        )
+
     async def _confirm_lead(
         self, leadership: Leadership, target: Target, led_at: float
     ) -> bool:
         confirmed = await leadership.confirm(target.id, led_at)
+        if self.has_unsettled_claim():
+            self._on_suspect(self)
         if target.id == self.primary:
             self._observe_proven()
         return confirmed
--- a/src/rosemaryridge/core/_leadership.py
+++ b/src/rosemaryridge/core/_leadership.py
@@ -98,9 +98,15 @@
         """Return whether a promotion of another target may be under way."""
         return (
             self.superseded_by(target) != ""
+            and not self._claims.is_undecided(self._service)
             and self._claims.seen_s(self._service) < _HAND_OVER_S
         )
 
+    def is_unsettled(self, target: str) -> bool:
+        """Return whether a claim names another target than one that goes on leading."""
+        superseded = self.superseded_by(target) != ""
+        return superseded and self._claims.seen_s(self._service) >= _HAND_OVER_S
+
     @property
     def step_down_term(self) -> int:
         """Return the lowest term that the target of the last claim may have."""
@@ -192,7 +198,7 @@
         return (
             claimed != ""
             and claimed not in others
-            and self._claims.is_readable(self._service)
+            and self._claims.is_decided(self._service)
         )
 
     async def _vote(self, target: str, led_at: float) -> bool:
--- a/src/rosemaryridge/core/_successor.py
+++ b/src/rosemaryridge/core/_successor.py
@@ -22,6 +22,7 @@
     UNRESPONSIVE = "silent"
     OVERLOADED = "overloaded while its replicas lag"
     NONE = "no primary"
+    UNSETTLED = "leads under a claim for another target"
 
 
 class OrderState(enum.Enum):
@@ -76,6 +77,8 @@
         return Reason.DRAINING
     if primary.unresponsive_since is not None:
         return Reason.UNRESPONSIVE
+    if group.has_unsettled_claim():
+        return Reason.UNSETTLED
     return Reason.OVERLOADED if group.is_primary_overloaded(now) else None
 
 
@@ -83,12 +86,14 @@
 class PromotionDecision:
     """Hold the target to promote, or the reason why there is none.
 
-    `primary` is a target that probably is the primary already.
+    `primary` is a target that probably is the primary already; `leads` is whether it
+    says so itself.
     """
 
     target: Target | None = None
     why: str = ""
     primary: Target | None = None
+    leads: bool = False
 
 
 def choose_successor(
@@ -116,7 +121,9 @@
         leads = condition.primary and condition.term == newest_term
         if leads and name in group.targets:
             return PromotionDecision(
-                why=f"{name} is the primary already", primary=group.targets[name]
+                why=f"{name} is the primary already",
+                primary=group.targets[name],
+                leads=True,
             )
     promoted = group.targets.get(claim.target)
     if promoted is not None and _was_promoted(group, claim, promoted, conditions):
--- a/src/rosemaryridge/core/store/__init__.py
+++ b/src/rosemaryridge/core/store/__init__.py
@@ -8,6 +8,7 @@
 from rosemaryridge.core.store._claims import NO_CLAIM
 from rosemaryridge.core.store._claims import PROMOTION_DELAY_S
 from rosemaryridge.core.store._claims import RELAYED_AGE_S
+from rosemaryridge.core.store._claims import UNDECIDED_TARGET
 from rosemaryridge.core.store._claims import Claim
 from rosemaryridge.core.store._claims import ClaimCache
 from rosemaryridge.core.store._claims import ClaimedTarget
@@ -30,6 +31,7 @@
     "NO_CLAIM",
     "PROMOTION_DELAY_S",
     "RELAYED_AGE_S",
+    "UNDECIDED_TARGET",
     "Claim",
     "ClaimCache",
     "ClaimListing",
--- a/src/rosemaryridge/core/store/_claims.py
+++ b/src/rosemaryridge/core/store/_claims.py
@@ -32,8 +32,9 @@
 _RETRY_S = 1.0
 # Fences and terms count promotions.
 _MAX_COUNT = 2**53
-# Names no target: a claim that cannot be read leases to none.
-_UNREADABLE_TARGET = "?"
+# Names no target and so leases to none: the successor is not chosen yet, or the claim
+# cannot be read.
+UNDECIDED_TARGET = "?"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,9 +161,14 @@
         """Return the last known claim on a group, `NOT_CLAIMED` without any."""
         return self._claims.get(service, NOT_CLAIMED)
 
-    def is_readable(self, service: str) -> bool:
+    def is_decided(self, service: str) -> bool:
         """Return whether the last known claim on a group, if any, names its target."""
-        return self.claim(service).target != _UNREADABLE_TARGET
+        return self.claim(service).target != UNDECIDED_TARGET
+
+    def is_undecided(self, service: str) -> bool:
+        """Return whether a proxy has claimed a group and names no successor yet."""
+        claim = self.claim(service)
+        return claim.target == UNDECIDED_TARGET and claim.term > NO_CLAIM.term
 
     def seen_s(self, service: str) -> float:
         """Return for how long this proxy has known the claim on a group, in seconds."""
@@ -273,4 +279,4 @@
             return ClaimedTarget(claim.fence, claim.term, claim.target)
         era = self._era.current if self._era is not None else None
         fence = hidden_fence(stored.revision, era)
-        return ClaimedTarget(fence, NO_CLAIM.term, _UNREADABLE_TARGET)
+        return ClaimedTarget(fence, NO_CLAIM.term, UNDECIDED_TARGET)
--- a/tests/integration/test_site_synchronous.py
+++ b/tests/integration/test_site_synchronous.py
@@ -1,8 +1,10 @@
 """Test that synchronous replicas lose no commit, on the platform emulator."""
 
 import asyncio
+import dataclasses
 
 from rosemaryridge.core.store import CLAIMS_KIND
+from rosemaryridge.core.store import PROMOTION_DELAY_S
 from rosemaryridge_testbed.fleet import eventually
 from rosemaryridge_testbed.site import SiteOptions
 from rosemaryridge_testbed.site._target import SiteTarget
@@ -103,3 +105,45 @@
         await self.until(lambda: self.group.term == 2)
         await self.until_served()
         self.assert_kept()
+
+
+class AbandonedClaimTest(SynchronousCase):
+    """Guard against a primary that nobody serves after its replacement was given up."""
+
+    async def abandon(self):
+        """Crash the primary until the proxy that claimed its replacement is killed."""
+        await self.target(0).crash()
+        await self.until(self.claim)
+        holder = self.claim()["holder"]
+        killed = next(n for n, e in enumerate(self.entries) if e._cfg.vm == holder)
+        failover = self.entries[killed]._failover
+        failover.stopping = True
+        # A killed process sends nothing more.
+        self.entries[killed].close()
+        for task in failover._tasks.values():
+            task.cancel()
+        await asyncio.sleep(PROMOTION_DELAY_S)
+        await self.restart_primary()
+        self.assertEqual(self.site.promotions, [])
+
+    async def test_it_is_leased_again_once_the_order_is_void(self):
+        await self.abandon()
+        await self.until_served()
+        await eventually(lambda: self.claim()["target"] == "books-0", _RECOVERY_S)
+        await self.until_served()
+        self.assertEqual((self.group.primary, self.group.term), ("books-0", 1))
+        self.assert_kept()
+
+
+class UnfencedAbandonedClaimTest(AbandonedClaimTest):
+    options = dataclasses.replace(SynchronousCase.options, fenced=False)
+
+    async def test_it_is_leased_again_once_the_order_is_void(self):
+        # The replicas that the killed proxy had paused received nothing any more: no
+        # write was acknowledged. Nothing voids an order here but its age, and commits
+        # are passed on by their receipts until then.
+        await self.abandon()
+        await self.until_served()
+        self.assertEqual((self.group.primary, self.group.term), ("books-0", 1))
+        self.assertNotEqual(self.claim()["target"], "books-0")
+        self.assert_kept()
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -15,6 +15,7 @@
 from rosemaryridge.core._successor import Reason
 from rosemaryridge.core._target import Target
 from rosemaryridge.core.store import LEASE_S
+from rosemaryridge.core.store import UNDECIDED_TARGET
 from rosemaryridge.core.store import Claim
 from rosemaryridge.exceptions import FenceRefused
 from rosemaryridge.exceptions import OrderExpired
@@ -302,6 +303,89 @@
         self.assertEqual(run_virtually(run), ["c"])
 
 
+class LeadingPrimaryTest(unittest.TestCase):
+    """Guard against a primary that leads on under a claim that names another target.
+
+    "vm-2" claimed the promotion of "b", and nothing tells whether it was ordered.
+    """
+
+    def fleet(self, **options):
+        fleet = Fleet(**options)
+        fleet.platform.claim = dataclasses.asdict(Claim(5, "vm-2", 1, "b", "a"))
+        fleet.platform.revision = 7
+        fleet.report(b=(1, 50), c=(1, 50))
+        fleet.conditions["a"] = condition((1, 60), primary=True)
+        return fleet
+
+    def settle(self, error=None, after_s=4.0, **options):
+        """Return the orders with who was claimed then, and the last claim."""
+
+        async def run():
+            fleet = self.fleet(**options)
+            platform, orders = fleet.platform, []
+
+            async def promote(service, target, fence, may_send):
+                orders.append((target, fence, platform.claim["target"]))
+                if error is not None:
+                    raise error
+
+            platform.promote = promote
+            # The claim counts from when it is first seen.
+            await fleet.replace(Reason.UNSETTLED)
+            await asyncio.sleep(after_s)
+            await fleet.replace(Reason.UNSETTLED)
+            return orders, Claim(**platform.claim)
+
+        return run_virtually(run)
+
+    def test_its_claim_is_settled_once_a_newer_order_was_answered(self):
+        # Leased before, it acknowledged commits that the late order rolled back.
+        orders, claim = self.settle()
+        self.assertEqual(orders, [("a", 6, UNDECIDED_TARGET)])
+        self.assertEqual(claim, Claim(7, "vm", 0, "a"))
+
+    def test_it_is_not_leased_while_its_own_order_has_no_answer(self):
+        _, claim = self.settle(StoreUnavailable("no answer"))
+        self.assertEqual((claim.fence, claim.target), (6, UNDECIDED_TARGET))
+
+    def test_nothing_voids_an_order_where_no_fence_is_checked(self):
+        orders, claim = self.settle(deposed_go_on=True)
+        self.assertEqual((orders, claim.target), ([], "b"))
+        orders, claim = self.settle(deposed_go_on=True, after_s=20.0)
+        self.assertEqual((orders, claim.target), ([], "a"))
+
+    def test_a_primary_that_is_back_before_the_order_is_kept(self):
+        async def run():
+            fleet = Fleet()
+            fleet.report(b=(1, 50), c=(1, 50))
+            back = {"a": condition((1, 60), primary=True)}
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.5, fleet.conditions.update, back)
+            return await fleet.replace(), Claim(**fleet.platform.claim)
+
+        ordered, claim = run_virtually(run)
+        self.assertEqual((ordered, claim.target, claim.term), ([], "a", 0))
+
+    def test_a_failed_planned_replacement_names_it_only_if_no_order_is_pending(self):
+        async def no_answer(*args):
+            return None
+
+        async def run(pending):
+            fleet = self.fleet()
+            if not pending:
+                fleet.platform.claim, fleet.platform.revision = None, 0
+            fleet.conditions["b"] = fleet.conditions["c"] = condition((1, 60))
+            fleet.group.targets["a"].draining = True
+            await fleet.replace(Reason.DRAINING)
+            await asyncio.sleep(4.0)
+            await fleet.replace(Reason.DRAINING)
+            return fleet.platform.claim["target"]
+
+        with mock.patch("rosemaryridge.core._failover.request_condition", no_answer):
+            self.assertEqual(run_virtually(lambda: run(False)), "a")
+            self.assertEqual(run_virtually(lambda: run(True)), UNDECIDED_TARGET)
+
+
 class EndedOrderTest(unittest.TestCase):
     """Guard against the target of an old claim that goes before a better one.
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -18,6 +18,7 @@
 from rosemaryridge.core.store import LEASE_S
 from rosemaryridge.core.store import NO_CLAIM
 from rosemaryridge.core.store import PROMOTION_DELAY_S
+from rosemaryridge.core.store import UNDECIDED_TARGET
 from rosemaryridge.core.store import Claim
 from rosemaryridge.core.store import ClaimedTarget
 from rosemaryridge.core.store import ClaimListing
@@ -283,6 +284,16 @@
         self.assertTrue(await self.leadership.confirm("a", boottime()))
         self.assertFalse(await self.kept((1, 50)))
 
+    async def test_a_claim_without_a_successor_leaves_votes_and_receipts(self):
+        # Writes would pause while the claim for an order without an answer is settled.
+        self.store.claim("books", 2, UNDECIDED_TARGET)
+        self.assertTrue(await self.leadership.confirm("a", boottime()))
+        self.assertTrue(await self.kept((1, 50)))
+        self.assertFalse(await self.kept((1, 51)))
+        self.assertFalse(self.leadership.is_unsettled("a"))
+        self.claims._seen_at["books"] -= 10.0
+        self.assertTrue(self.leadership.is_unsettled("a"))
+
     async def test_a_receipt_that_arrives_in_time_is_awaited(self):
         await self.claim_is_pending()
         loop = asyncio.get_running_loop()
