--- a/src/rosemaryridge/core/commands.py
+++ b/src/rosemaryridge/core/commands.py
@@ -127,17 +127,6 @@
         None if the target had no free slot to answer.
         """
 
-    async def pause(self, term: int) -> TargetCondition | None:
-        """Let a replica receive nothing of older terms; return its condition.
-
-        That holds until it resumes, restarts or a target is promoted. Without a
-        `held_term` in the condition the target cannot pause. None if it had no free
-        slot to answer.
-        """
-
-    async def resume(self) -> TargetCondition | None:
-        """Let a replica receive again; return its condition as `pause`."""
-
     def close(self) -> None:
         """Close the connection; the target rolls back an open transaction."""
 
--- a/src/rosemaryridge/core/owners/_links.py
+++ b/src/rosemaryridge/core/owners/_links.py
@@ -26,7 +26,6 @@
 from rosemaryridge.core.owners._messages import Condition
 from rosemaryridge.core.owners._messages import ConditionStep
 from rosemaryridge.core.owners._messages import Done
-from rosemaryridge.core.owners._messages import HoldStep
 from rosemaryridge.core.owners._messages import NotRun
 from rosemaryridge.core.owners._messages import RollbackStep
 from rosemaryridge.core.owners._messages import RunStep
@@ -122,17 +121,6 @@
         """
         return await self._ask(ConditionStep(term))
 
-    async def pause(self, term: int) -> TargetCondition | None:
-        """Let a replica receive nothing of older terms; return its condition.
-
-        None if the target had no free slot to answer.
-        """
-        return await self._ask(HoldStep(term))
-
-    async def resume(self) -> TargetCondition | None:
-        """Let a replica receive again; return its condition, None as for a pause."""
-        return await self._ask(HoldStep())
-
     def close(self) -> None:
         """Close the link; the owner rolls back an open transaction."""
         if self._closed:
@@ -171,7 +159,7 @@
             )
         )
 
-    async def _ask(self, step: ConditionStep | HoldStep) -> TargetCondition | None:
+    async def _ask(self, step: ConditionStep) -> TargetCondition | None:
         sent = self._send_batch([step], {})
         sent.add_done_callback(self._on_asked)
         reply = await asyncio.shield(sent)
--- a/src/rosemaryridge/core/owners/_messages.py
+++ b/src/rosemaryridge/core/owners/_messages.py
@@ -63,10 +63,9 @@
 
 
 class HoldStep(_Frame, tag=5):
-    """Pause a replica, or resume it without a term, and ask for its condition.
+    """Ask for a target's condition.
 
-    Sent only for services with synchronous replicas: an owner of a build without it
-    ends the stream.
+    Builds that held replicas during a promotion send it; nothing is held any more.
     """
 
     term: int | None = None
--- a/src/rosemaryridge/core/owners/_targets.py
+++ b/src/rosemaryridge/core/owners/_targets.py
@@ -613,11 +613,7 @@
 async def _request_condition(
     connection: TargetLink, step: ConditionStep | HoldStep
 ) -> TargetCondition | None:
-    if isinstance(step, HoldStep):
-        if step.term is None:
-            return await connection.resume()
-        return await connection.pause(step.term)
-    if step.step_down_term is None:
+    if isinstance(step, HoldStep) or step.step_down_term is None:
         return await connection.ask_condition()
     return await connection.step_down(step.step_down_term)
 
--- a/src/rosemaryridge/platform/target.py
+++ b/src/rosemaryridge/platform/target.py
@@ -149,21 +149,6 @@
         """
         return await self._ask(wire.step_down_text(term))
 
-    async def pause(self, term: int) -> TargetCondition | None:
-        """Let a replica receive nothing of older terms; return its condition.
-
-        None if the target had no free slot to answer.
-        """
-        answer = await self._query(wire.pause_text(term))
-        if answer.failure is Failure.MALFORMED:
-            # The target knows no PAUSE.
-            return await self.ask_condition()
-        return wire.decode_condition(answer)
-
-    async def resume(self) -> TargetCondition | None:
-        """Let a replica receive again; return its condition, None as for a pause."""
-        return await self._ask(wire.RESUME)
-
     async def _ask(self, text: bytes) -> TargetCondition | None:
         return wire.decode_condition(await self._query(text))
 
--- a/src/rosemaryridge/platform/wire.py
+++ b/src/rosemaryridge/platform/wire.py
@@ -314,7 +314,6 @@
 ROLLBACK = b"ROLLBACK"
 RESET = b"RESET"
 STATUS = b"STATUS"
-RESUME = b"RESUME"
 
 
 def step_down_text(term: int) -> bytes:
@@ -322,11 +321,6 @@
     return b"STEPDOWN %d" % term
 
 
-def pause_text(term: int) -> bytes:
-    """Return the text that keeps a replica from receiving commits of older terms."""
-    return b"PAUSE %d" % term
-
-
 def decode_condition(answer: Answer) -> TargetCondition | None:
     """Return a target's condition; None if the answer contains none."""
     if not answer.ok or not answer.rows:
--- a/src/rosemaryridge_testbed/schedules/_world.py
+++ b/src/rosemaryridge_testbed/schedules/_world.py
@@ -143,8 +143,6 @@
         self.promoted.append((now, frozenset(c.data for c in target.log)))
         self.leader = name
         target.leads_term = target.term = self.term
-        for other in self.targets.values():
-            other.held_term = 0
         reached = self.fenced or self.reach(former.name, name)
         if former is not target and reached:
             former.leads_term = None
@@ -160,8 +158,6 @@
         # The term that this target leads or believes to lead, None as a replica.
         self.leads_term: int | None = None
         self.term = 1
-        # Commits of older terms than this are not received; 0 without a pause.
-        self.held_term = 0
         self.log: list[Commit] = []
         # Connections that count, and how many are accepted; None without a limit.
         self.connections = 0
@@ -210,7 +206,6 @@
     def restart(self) -> None:
         """Start again, as a replica if another target was promoted."""
         self.crashed = False
-        self.held_term = 0
         if self.world.leader != self.name:
             self.leads_term = None
 
@@ -221,7 +216,6 @@
             self.crashed
             or leader.crashed
             or not self.world.reach(self.name, leader.name)
-            or self.held_term
             or self.name in self.world.deaf
         ):
             self._reaches_leader_since = None
@@ -259,8 +253,7 @@
     def condition(self) -> TargetCondition:
         """Return the condition that the target reports."""
         leads = self.leads_term is not None
-        held = self.held_term
-        return TargetCondition(leads, self.term, self.position, held, 0.0, 0, 0)
+        return TargetCondition(leads, self.term, self.position, 0, 0.0, 0, 0)
 
     def step_down(self, term: int) -> TargetCondition:
         """Become a replica if this target leads a lower term."""
@@ -268,17 +261,6 @@
             self.leads_term = None
         return self.condition()
 
-    def pause(self, term: int) -> TargetCondition:
-        """Receive no commits of older terms."""
-        if self.leads_term is None and term > self.term:
-            self.held_term = term
-        return self.condition()
-
-    def resume(self) -> TargetCondition:
-        """Receive commits again."""
-        self.held_term = 0
-        return self.condition()
-
 
 class ModelLink:
     """Exchange commands with a target over one connection of a proxy."""
@@ -346,14 +328,6 @@
         """Demote the target and return its condition."""
         return await self._ask(lambda: self._target.step_down(term))
 
-    async def pause(self, term: int) -> TargetCondition | None:
-        """Hold the target and return its condition."""
-        return await self._ask(lambda: self._target.pause(term))
-
-    async def resume(self) -> TargetCondition | None:
-        """Let the target receive again and return its condition."""
-        return await self._ask(self._target.resume)
-
     async def _ask(self, request: t.Callable[[], t.Any]) -> t.Any:
         fut = asyncio.get_running_loop().create_future()
         self._pending += 1
--- a/tests/integration/test_site_synchronous.py
+++ b/tests/integration/test_site_synchronous.py
@@ -107,6 +107,34 @@
         self.assert_kept()
 
 
+class LateOrderTest(SynchronousCase):
+    async def test_all_proxies_restart_while_an_order_has_no_answer(self):
+        # The order was carried out after the new processes had acknowledged writes.
+        ordered = asyncio.get_running_loop().create_future()
+
+        async def strike(name):
+            if not ordered.done():
+                ordered.set_result(name)
+                await asyncio.sleep(6.0)
+
+        self.on_order(strike)
+        await self.target(0).crash()
+        await asyncio.wait_for(ordered, 5.0)
+        for number, entry in enumerate(self.entries):
+            entry.close()
+            self.tasks[number].cancel()
+        await asyncio.gather(*self.tasks[: self.proxies], return_exceptions=True)
+        self.entries.clear()
+        self.addresses.clear()
+        for number in range(self.proxies):
+            await self._start_proxy(self.log_path.parent, f"vm-{number}", False)
+        await self.restart_primary()
+        await self.until_served()
+        await eventually(lambda: self.group.term == 2, _RECOVERY_S)
+        await self.until_served()
+        self.assert_kept()
+
+
 class AbandonedClaimTest(SynchronousCase):
     """Guard against a primary that nobody serves after its replacement was given up."""
 
