Ask the receipts of a commit for its own target

A request for receipts under way for a former primary was shared with commits of its successor, although it asks all targets but the former one. The new test failed before. The settling of a claim begins with a stale read, as a replacement does.

--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -360,11 +360,13 @@
         Without synchronous replicas votes go round such a claim.
         """
         primary, era = group.primary_target, self._era.current
-        claim, revision = await self._claims.read(group.service, group.term)
-        if primary is None or claim.target == primary.id:
-            return True
-        if self._is_blocked_by(group, claim, revision):
-            return False
+        # As in `_replace`, most proxies stop after a stale read.
+        for stale in (True, False):
+            claim, revision = await self._claims.read(group.service, group.term, stale)
+            if primary is None or claim.target == primary.id:
+                return True
+            if self._is_blocked_by(group, claim, revision):
+                return False
         order = self._order_state(group, claim, revision)
         if order is OrderState.PENDING:
             self._log_not_promoted(
--- a/src/rosemaryridge/core/_leadership.py
+++ b/src/rosemaryridge/core/_leadership.py
@@ -79,8 +79,10 @@
         self._vote_task: asyncio.Task[bool] | None = None
         self._vote_started_at = float("-inf")
         self._logged_at = float("-inf")
-        # Commits that are answered meanwhile share one request for the conditions.
+        # Commits of a target that are answered meanwhile share one request for the
+        # conditions of the others.
         self._receipts_task: asyncio.Task[Position | None] | None = None
+        self._receipts_of = ""
 
     def proven_until(self, target: str) -> float:
         """Return until when a target is proven to have led, if it ever did."""
@@ -157,11 +159,13 @@
         """Return whether all others received a position of a target's log in time."""
         until = boottime() + _RECEIPT_WAIT_S
         while True:
-            if self._receipts_task is None or self._receipts_task.done():
-                self._receipts_task = asyncio.get_running_loop().create_task(
+            task = self._receipts_task
+            if task is None or task.done() or self._receipts_of != target:
+                self._receipts_of = target
+                self._receipts_task = task = asyncio.get_running_loop().create_task(
                     self._fetch_received_by_all(target)
                 )
-            received = await asyncio.shield(self._receipts_task)
+            received = await asyncio.shield(task)
             if received is None:
                 break
             # A newer term may have begun without the commit.
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -308,6 +308,27 @@
             self.conditions["c"] = other
             self.assertFalse(await self.kept((1, 50)))
 
+    async def test_receipts_of_another_target_prove_nothing(self):
+        # A request under way for a former primary does not ask that one.
+        await self.claim_is_pending("c")
+        self.conditions["a"] = condition((1, 10))
+        asked = asyncio.Event()
+
+        async def ask(name):
+            await asked.wait()
+            return self.conditions[name]
+
+        self.leadership._ask_condition = ask
+        first = asyncio.create_task(self.kept((1, 50)))
+        await asyncio.sleep(0)
+        second = asyncio.create_task(
+            self.leadership.confirm_commit("b", Position(1, 50), boottime())
+        )
+        await asyncio.sleep(0)
+        asked.set()
+        with mock.patch("rosemaryridge.core._leadership._RECEIPT_WAIT_S", 0.1):
+            self.assertEqual((await first, await second), (True, False))
+
     async def test_a_claimed_target_that_is_not_listed_has_received_nothing(self):
         await self.claim_is_pending("d")
         self.assertFalse(await self.kept((1, 50)))
