Strike faults at the system's own steps in the schedules

Each message of the model is a step with a name (`step`, a decorator), and each fault is registered by a decorator. A seed draws the settings (targets 2 to 5, fences, synchronous replicas, distances of the replicas, late entries) and one to four faults, each before or after an occurrence of a step; each second seed takes the next pair of a rare step and a fault, so that all are met. After the faults each proxy must serve a write. A killed proxy sends nothing more.

--- a/src/rosemaryridge_testbed/schedules/_explore.py
+++ b/src/rosemaryridge_testbed/schedules/_explore.py
@@ -43,12 +43,16 @@
     owned_links: int = 0
     direct_links: int = 0
     rejected_connections: int = 0
+    # The faults at steps that struck, with their steps.
+    faults_met: tuple[str, ...] = ()
     violations: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
 
 
-class _Schedule:
+class Schedule:
+    """Run one schedule with faults at random times."""
+
     def __init__(self, seed: int, options: Options, trace: bool):
         self.options = options
         self.rng = random.Random(seed)
@@ -62,6 +66,7 @@
         self.ended: dict[bytes, float] = {}
         self.committed: dict[bytes, t.Any] = {}
         self._serving: dict[t.Any, ModelProxy] = {}
+        self.ends_at = 0.0
 
     async def run(self) -> Result:
         options = self.options
@@ -71,6 +76,7 @@
         )
         world.sync_replicas = options.sync_replicas
         world.fenced = options.fenced
+        world.far_replicas = options.far_replicas
         self._streams = Streams(world)
         if options.owned:
             for target in world.targets.values():
@@ -86,14 +92,15 @@
                 ].relay_claims(proxy.name)
         for target in world.targets.values():
             self._watch_commits(target)
-        end = loop.time() + options.duration_s
+        self.ends_at = end = loop.time() + options.duration_s
         tasks = [loop.create_task(world.replicate())]
         tasks += [
-            loop.create_task(self._call(number, end))
-            for number in range(options.callers)
+            loop.create_task(self._call(number)) for number in range(options.callers)
         ]
+        self.start_faults()
         tasks += [loop.create_task(self._strike(end)) for _ in range(options.faults)]
         await asyncio.gather(*tasks[1:])
+        await self.judge_recovery()
         tasks[0].cancel()
         # What was sent may still run.
         await asyncio.sleep(_SETTLE_S)
@@ -111,6 +118,12 @@
             self.result.violations["fence went back"] += 1
         return self.result
 
+    def start_faults(self) -> None:
+        """Start the faults that do not strike at random times."""
+
+    async def judge_recovery(self) -> None:
+        """Check that writes are served again after the faults."""
+
     def _start_proxy(self, name: str, seed: str) -> ModelProxy:
         return ModelProxy(
             name, self.world, self._streams, self.options, seed, self.trace
@@ -152,17 +165,17 @@
 
         target.commit = watched
 
-    async def _call(self, number: int, end: float) -> None:
+    async def _call(self, number: int) -> None:
         loop = asyncio.get_running_loop()
         rng = random.Random(f"{self.result.seed}/caller/{number}")
-        while loop.time() < end:
+        while loop.time() < self.ends_at:
             proxy = rng.choice(self.proxies)
             if not proxy.alive:
                 await asyncio.sleep(0.1)
                 continue
             caller = await proxy.proxy.open(DATABASE)
             for _ in range(rng.randint(1, 6)):
-                await asyncio.sleep(rng.expovariate(8.0))
+                await asyncio.sleep(rng.expovariate(8.0) + self.options.rest_s)
                 if not proxy.alive:
                     break
                 self._serving[asyncio.current_task()] = proxy
@@ -269,7 +282,7 @@
         return [proxy.name for proxy in self.proxies]
 
 
-_Fault = t.Callable[[_Schedule, float], t.Awaitable[None]]
+_Fault = t.Callable[[Schedule, float], t.Awaitable[None]]
 _FAULTS: dict[str, _Fault] = {}
 
 
@@ -279,7 +292,7 @@
 
 
 async def _cut(
-    schedule: _Schedule, duration_s: float, pairs: t.Iterable[tuple[str, str]]
+    schedule: Schedule, duration_s: float, pairs: t.Iterable[tuple[str, str]]
 ) -> None:
     cuts = {frozenset(pair) for pair in pairs} - schedule.world.cuts
     schedule.world.cuts |= cuts
@@ -288,7 +301,7 @@
 
 
 @_fault
-async def _split(schedule: _Schedule, duration_s: float) -> None:
+async def _split(schedule: Schedule, duration_s: float) -> None:
     """Leave the primary with some proxies, the rest with the store."""
     world, rng = schedule.world, schedule.rng
     primary = world.leader
@@ -299,7 +312,7 @@
 
 
 @_fault
-async def _cut_primary(schedule: _Schedule, duration_s: float) -> None:
+async def _cut_primary(schedule: Schedule, duration_s: float) -> None:
     """Cut the primary from the other targets and from some proxies."""
     world, rng = schedule.world, schedule.rng
     far = set(world.targets) - {world.leader}
@@ -308,7 +321,7 @@
 
 
 @_fault
-async def _cut_store(schedule: _Schedule, duration_s: float) -> None:
+async def _cut_store(schedule: Schedule, duration_s: float) -> None:
     """Cut some proxies from the store and the promotion API."""
     names = schedule.rng.sample(schedule.names(), schedule.rng.randint(1, 3))
     pairs = [(name, node) for name in names for node in (STORE, CLOUD)]
@@ -316,7 +329,7 @@
 
 
 @_fault
-async def _cut_proxy(schedule: _Schedule, duration_s: float) -> None:
+async def _cut_proxy(schedule: Schedule, duration_s: float) -> None:
     """Cut one proxy from a part of the targets."""
     name = schedule.rng.choice(schedule.names())
     targets = sorted(schedule.world.targets)
@@ -325,7 +338,7 @@
 
 
 @_fault
-async def _store_down(schedule: _Schedule, duration_s: float) -> None:
+async def _store_down(schedule: Schedule, duration_s: float) -> None:
     """Let the store refuse every call."""
     schedule.world.store_down = True
     await asyncio.sleep(duration_s)
@@ -333,14 +346,14 @@
 
 
 @_fault
-async def _restored_store(schedule: _Schedule, duration_s: float) -> None:
+async def _restored_store(schedule: Schedule, duration_s: float) -> None:
     """Bring the store back from a copy."""
     if schedule.options.restored_stores:
         await schedule.world.restore_store(duration_s)
 
 
 @_fault
-async def _crash_primary(schedule: _Schedule, duration_s: float) -> None:
+async def _crash_primary(schedule: Schedule, duration_s: float) -> None:
     """Crash the primary; it comes back with its log."""
     target = schedule.world.targets[schedule.world.leader]
     target.crash()
@@ -349,7 +362,7 @@
 
 
 @_fault
-async def _restart_cut_off(schedule: _Schedule, duration_s: float) -> None:
+async def _restart_cut_off(schedule: Schedule, duration_s: float) -> None:
     """Restart the primary soon after a crash, behind a cut with some proxies."""
     world, rng = schedule.world, schedule.rng
     target = world.targets[world.leader]
@@ -363,7 +376,7 @@
 
 
 @_fault
-async def _slow_node(schedule: _Schedule, duration_s: float) -> None:
+async def _slow_node(schedule: Schedule, duration_s: float) -> None:
     """Delay the messages of a target or of a proxy."""
     world = schedule.world
     node = schedule.rng.choice((world.leader, *schedule.names()))
@@ -373,7 +386,7 @@
 
 
 @_fault
-async def _crash_replica(schedule: _Schedule, duration_s: float) -> None:
+async def _crash_replica(schedule: Schedule, duration_s: float) -> None:
     """Crash a replica; it comes back with its log."""
     names = sorted(set(schedule.world.targets) - {schedule.world.leader})
     target = schedule.world.targets[schedule.rng.choice(names)]
@@ -383,7 +396,7 @@
 
 
 @_fault
-async def _deaf_replica(schedule: _Schedule, duration_s: float) -> None:
+async def _deaf_replica(schedule: Schedule, duration_s: float) -> None:
     """Let a replica receive nothing."""
     world = schedule.world
     names = sorted(set(world.targets) - {world.leader} - world.deaf)
@@ -395,13 +408,13 @@
 
 
 @_fault
-async def _kill_proxy(schedule: _Schedule, duration_s: float) -> None:
+async def _kill_proxy(schedule: Schedule, duration_s: float) -> None:
     """Kill a proxy, maybe an owner, and start it again."""
     await schedule.kill_proxy(duration_s)
 
 
 @_fault
-async def _cut_proxies(schedule: _Schedule, duration_s: float) -> None:
+async def _cut_proxies(schedule: Schedule, duration_s: float) -> None:
     """Cut one proxy from some others."""
     name, *others = schedule.rng.sample(schedule.names(), len(schedule.names()))
     far = others[: schedule.rng.randint(1, len(others))]
@@ -412,4 +425,4 @@
     seed: int, options: Options = _DEFAULT_OPTIONS, trace: bool = False
 ) -> Result:
     """Run the schedule of a seed; return its counts and violations."""
-    return run_virtually(lambda: _Schedule(seed, options, trace).run())
+    return run_virtually(lambda: Schedule(seed, options, trace).run())
--- a/src/rosemaryridge_testbed/schedules/_proxy.py
+++ b/src/rosemaryridge_testbed/schedules/_proxy.py
@@ -25,6 +25,7 @@
 from rosemaryridge_testbed.schedules._world import ModelLink
 from rosemaryridge_testbed.schedules._world import ModelOrders
 from rosemaryridge_testbed.schedules._world import ModelStore
+from rosemaryridge_testbed.schedules._world import ModelTarget
 from rosemaryridge_testbed.schedules._world import World
 
 DATABASE = b"books-orders"
@@ -57,6 +58,12 @@
     owned: bool = False
     sync_replicas: int = 0
     tells_sync: bool = True
+    # Time that callers rest between statements beside a random one.
+    rest_s: float = 0.0
+    # Whether replicas receive commits at different paces.
+    far_replicas: bool = False
+    # Within which proxies learn of a target that joins.
+    entry_delay_s: float = 0.0
     # What a target accepts, and how many proxies share it where not all of them run.
     connections: int = 60
     counted: int = 0
@@ -97,17 +104,20 @@
         log = t.cast(t.Any, _Log(name, trace))
         shares = Shares()
         era = StoreEra(log)
-        store = ModelStore(world, name, era)
+        self.alive = True
+        store = ModelStore(world, name, era, lambda: self.alive)
+        self._store = store
         self.failover = Failover(
             name,
             t.cast(t.Any, store),
-            ModelOrders(world, name, options.late_orders),
+            ModelOrders(world, name, options.late_orders, lambda: self.alive),
             shares,
             log,
             rng,
             options.proofs and not options.fenced,
             era,
         )
+        self.failover.refresh_targets = self._refresh_targets
         self.proxy = Proxy(
             Surroundings("a", {}),
             self._connect,
@@ -120,7 +130,6 @@
         if options.proofs:
             self.proxy.directory.claims = self.claims
             self.proxy.directory.deposed_go_on = not options.fenced
-        self.alive = True
         self._links: list[ModelLink] = []
         routes = {route.database: route for route in options.routes}
         sync_replicas = options.sync_replicas if options.tells_sync else 0
@@ -164,12 +173,23 @@
     def kill(self) -> None:
         """End the process: its streams are reset, its connections drop."""
         self.alive = False
+        self.failover.stopping = True
         self.streams.kill(self.name)
         if self.owners is not None:
             self.owners.close()
         for link in self._links:
             link.drop()
 
+    def learn(self, target: ModelTarget) -> None:
+        """Learn of a target that has joined."""
+        if self.alive:
+            self.proxy.directory.put(target.info)
+
+    async def _refresh_targets(self, group: t.Any) -> None:
+        """Read the list of targets, as it is now, from the store."""
+        infos = await self._store.read_targets()
+        self.proxy.directory.add_missing(group.service, infos)
+
     async def _connect(self, info: t.Any, timeout_s: float, business: str) -> t.Any:
         if self.owners is not None:
             return await self.owners.connect(info, timeout_s, business)
--- a/src/rosemaryridge_testbed/schedules/_world.py
+++ b/src/rosemaryridge_testbed/schedules/_world.py
@@ -24,6 +24,10 @@
 from rosemaryridge.model import Position
 from rosemaryridge.platform.store import Listing
 from rosemaryridge.platform.store import StoredObject
+from rosemaryridge_testbed.schedules._steps import NO_EFFECT
+from rosemaryridge_testbed.schedules._steps import Effect
+from rosemaryridge_testbed.schedules._steps import Moment
+from rosemaryridge_testbed.schedules._steps import step
 
 SERVICE = "books"
 STORE = "store"
@@ -31,6 +35,8 @@
 _LATENCY_S = (0.0005, 0.02)
 SLOW_LATENCY_S = (0.02, 0.5)
 _REPLICATION_PERIOD_S = 0.03
+# The same of a replica by its distance.
+_LINK_PERIODS_S = (0.004, 0.02, 0.08)
 # Period of looking for a replica that has received a commit.
 _RECEIPT_POLL_S = 0.01
 # A deposed primary follows its successor this long after it can reach it.
@@ -48,6 +54,10 @@
     led: bool
 
 
+def _no_effect(name: str, moment: Moment, sender: str, receiver: str) -> Effect:
+    return NO_EFFECT
+
+
 class World:
     """Hold the true state of a group; nodes that are cut apart cannot exchange."""
 
@@ -75,11 +85,16 @@
         self.fenced = False
         self.newest_fence = 0
         self.sync_replicas = 0
+        # Whether replicas are at different distances from the primary.
+        self.far_replicas = False
         # Replicas that receive nothing.
         self.deaf: set[str] = set()
         # When a target was promoted, and the writes that it had.
         self.promoted: list[tuple[float, frozenset[bytes]]] = []
         self.objects: dict[str, StoredObject] = {}
+        # Called at each step with its name, moment, sender and receiver; returns what
+        # becomes of its message.
+        self.on_step: t.Callable[[str, Moment, str, str], Effect] = _no_effect
         self.era = 1
         self._revision = 0
         self._tasks: set[asyncio.Task[t.Any]] = set()
@@ -91,6 +106,13 @@
         self.objects, self._revision = objects, revision
         self.era += 1
 
+    def add_target(self, name: str) -> "ModelTarget":
+        """Add a replica without a log."""
+        target = self.targets[name] = ModelTarget(name, self)
+        if self.far_replicas:
+            self.spawn(self._replicate_to(target))
+        return target
+
     def is_full(self, target: "ModelTarget") -> bool:
         """Return whether a target accepts no further connection; count a refusal."""
         limit = target.connection_limit
@@ -117,6 +139,10 @@
 
     async def replicate(self) -> None:
         """Let the targets follow their primary until cancelled."""
+        if self.far_replicas:
+            for target in self.targets.values():
+                self.spawn(self._replicate_to(target))
+            await asyncio.get_running_loop().create_future()
         while True:
             await asyncio.sleep(_REPLICATION_PERIOD_S * self.rng.uniform(0.5, 2.0))
             leader = self.targets[self.leader]
@@ -124,6 +150,14 @@
                 if target is not leader:
                     target.follow(leader)
 
+    async def _replicate_to(self, target: "ModelTarget") -> None:
+        """Let a target follow its primary, at a pace of its own."""
+        period_s = self.rng.choice(_LINK_PERIODS_S)
+        while True:
+            await asyncio.sleep(period_s * self.rng.uniform(0.5, 2.0))
+            if target.name != self.leader:
+                target.follow(self.targets[self.leader])
+
     def admits(self, fence: int) -> bool:
         """Return whether an order is not outdated by its fence; take note of it."""
         if self.fenced and fence < self.newest_fence:
@@ -262,6 +296,16 @@
         return self.condition()
 
 
+def _step_of(command: commands.Command) -> str:
+    """Return the name of the step that a command is."""
+    if not isinstance(command, commands.Run):
+        return "begin"
+    verb = command.statement.verb
+    if verb is Verb.COMMIT:
+        return "commit"
+    return "read" if verb is Verb.READ else "write"
+
+
 class ModelLink:
     """Exchange commands with a target over one connection of a proxy."""
 
@@ -304,6 +348,7 @@
             self.closed = True
             self._target.connections -= 1
 
+    @step("begin", "write", "commit", "read")
     def send(self, *batch: commands.Command) -> list[asyncio.Future[Answer]]:
         """Queue commands; answers arrive in order."""
         futs = []
@@ -316,22 +361,25 @@
                 continue
             self._pending += 1
             takes_slot = isinstance(command, commands.Run)
-            self._queue.append((lambda c=command: self._run(c), fut, takes_slot))
+            name = _step_of(command)
+            self._queue.append((lambda c=command: self._run(c), fut, takes_slot, name))
         self._start()
         return futs
 
+    @step("condition asked")
     async def ask_condition(self) -> TargetCondition | None:
         """Return the target's condition."""
-        return await self._ask(self._target.condition)
+        return await self._ask("condition asked", self._target.condition)
 
+    @step("step-down")
     async def step_down(self, term: int) -> TargetCondition | None:
         """Demote the target and return its condition."""
-        return await self._ask(lambda: self._target.step_down(term))
+        return await self._ask("step-down", lambda: self._target.step_down(term))
 
-    async def _ask(self, request: t.Callable[[], t.Any]) -> t.Any:
+    async def _ask(self, name: str, request: t.Callable[[], t.Any]) -> t.Any:
         fut = asyncio.get_running_loop().create_future()
         self._pending += 1
-        self._queue.append((request, fut, False))
+        self._queue.append((request, fut, False, name))
         self._start()
         return await fut
 
@@ -342,9 +390,14 @@
 
     async def _work(self) -> None:
         while self._queue:
-            request, fut, takes_slot = self._queue.popleft()
+            request, fut, takes_slot, name = self._queue.popleft()
             arrived = await self._world.travel(self._proxy, self._target.name)
-            if not arrived or self._target.crashed:
+            effect = self._world.on_step(
+                name, Moment.BEFORE, self._proxy, self._target.name
+            )
+            if effect.late_s:
+                self._world.spawn(self._carry_out_late(request, effect.late_s))
+            if not arrived or self._target.crashed or effect.is_lost:
                 await self._lose(fut)
                 break
             if self._world.work_s:
@@ -355,8 +408,11 @@
             if has_written and not await self._target.wait_for_receipt():
                 await self._lose(fut)
                 break
+            effect = self._world.on_step(
+                name, Moment.AFTER, self._proxy, self._target.name
+            )
             back = await self._world.travel(self._proxy, self._target.name)
-            if not back:
+            if not back or effect.is_lost:
                 await self._lose(fut)
                 break
             self._pending -= 1
@@ -364,6 +420,13 @@
                 fut.set_result(answer)
         self._working = False
 
+    async def _carry_out_late(
+        self, request: t.Callable[[], t.Any], late_s: float
+    ) -> None:
+        await asyncio.sleep(late_s)
+        if not self._target.crashed:
+            request()
+
     async def _answer(self, request: t.Callable[[], t.Any], takes_slot: bool) -> t.Any:
         target = self._target
         target.arrivals += takes_slot
@@ -433,38 +496,93 @@
 }
 
 
-class ModelStore:
-    """Serve the store to one proxy."""
+class _Calls:
+    """Pass the calls of one proxy on, unless its process has ended."""
 
-    def __init__(self, world: World, proxy: str, era: StoreEra):
+    def __init__(self, world: World, proxy: str, is_alive: t.Callable[[], bool]):
         self._world = world
         self._proxy = proxy
+        self._is_alive = is_alive
+
+    async def _travel(self, name: str, moment: Moment, receiver: str) -> float:
+        """Send a message; raise StoreUnavailable after a time if it does not arrive.
+
+        Returns how late it is to be carried out, without an answer.
+        """
+        world = self._world
+        if not self._is_alive():
+            # A process that has ended sends and hears nothing more.
+            await asyncio.get_running_loop().create_future()
+        arrived = False
+        if moment is Moment.BEFORE:
+            arrived = await world.travel(self._proxy, receiver)
+        effect = world.on_step(name, moment, self._proxy, receiver)
+        if moment is Moment.AFTER:
+            arrived = await world.travel(self._proxy, receiver)
+        if not self._is_alive():
+            await asyncio.get_running_loop().create_future()
+        if effect.late_s:
+            return effect.late_s
+        if not arrived or effect.is_lost:
+            await self._time_out()
+        return 0.0
+
+    async def _time_out(self) -> t.NoReturn:
+        await asyncio.sleep(_CALL_TIMEOUT_S)
+        raise StoreUnavailable("no answer")
+
+
+class ModelStore(_Calls):
+    """Serve the store to one proxy."""
+
+    def __init__(
+        self,
+        world: World,
+        proxy: str,
+        era: StoreEra,
+        is_alive: t.Callable[[], bool] = lambda: True,
+    ):
+        super().__init__(world, proxy, is_alive)
         self._era = era
 
-    async def _call(self, work: t.Callable[[], t.Any]) -> t.Any:
+    async def _call(self, name: str, work: t.Callable[[], t.Any]) -> t.Any:
         world = self._world
-        if not await world.travel(self._proxy, STORE):
-            await asyncio.sleep(_CALL_TIMEOUT_S)
-            raise StoreUnavailable("no answer")
+        late_s = await self._travel(name, Moment.BEFORE, STORE)
+        if late_s:
+            asyncio.get_running_loop().call_later(late_s, work)
+            await self._time_out()
         if world.store_down:
             raise StoreUnavailable("status 503")
         result, era = work(), world.era
-        if not await world.travel(self._proxy, STORE):
-            await asyncio.sleep(_CALL_TIMEOUT_S)
-            raise StoreUnavailable("no answer")
+        await self._travel(name, Moment.AFTER, STORE)
         if not self._era.observe(era):
             raise StoreUnavailable("answer of an earlier era")
         return result
 
+    @step("claims listed")
     async def list(self, kind: str) -> Listing:
         """Return all objects."""
-        return await self._call(lambda: Listing(tuple(self._world.objects.values()), 1))
+        return await self._call(
+            "claims listed", lambda: Listing(tuple(self._world.objects.values()), 1)
+        )
 
+    @step("claim read")
     async def get(self, kind: str, name: str, stale: bool = False) -> StoredObject:
         """Return an object."""
         absent = StoredObject(name, 0, None)
-        return await self._call(lambda: self._world.objects.get(name, absent))
+        return await self._call(
+            "claim read", lambda: self._world.objects.get(name, absent)
+        )
 
+    @step("targets listed")
+    async def read_targets(self) -> tuple[TargetInfo, ...]:
+        """Return the registrations of all targets."""
+        return await self._call(
+            "targets listed",
+            lambda: tuple(target.info for target in self._world.targets.values()),
+        )
+
+    @step("claim put")
     async def put(self, kind: str, name: str, spec: t.Any, revision: int) -> int:
         """Write an object if its revision matches."""
 
@@ -476,20 +594,26 @@
             self._world.objects[name] = StoredObject(name, self._world._revision, spec)
             return self._world._revision
 
-        written = await self._call(write)
+        written = await self._call("claim put", write)
         if written is None:
             raise StoreConflict(f"revision of {name} differs")
         return written
 
 
-class ModelOrders:
+class ModelOrders(_Calls):
     """Pass on the promotion orders of one proxy; orders may be carried out late."""
 
-    def __init__(self, world: World, proxy: str, late: float):
-        self._world = world
-        self._proxy = proxy
+    def __init__(
+        self,
+        world: World,
+        proxy: str,
+        late: float,
+        is_alive: t.Callable[[], bool] = lambda: True,
+    ):
+        super().__init__(world, proxy, is_alive)
         self._late = late
 
+    @step("promotion ordered")
     async def promote(
         self, service: str, target: str, fence: int, may_send: t.Callable[[], bool]
     ) -> None:
@@ -498,18 +622,21 @@
         if not may_send():
             raise OrderExpired("too late")
         world.orders.append((fence, target))
-        if not await world.travel(self._proxy, CLOUD):
-            await asyncio.sleep(_CALL_TIMEOUT_S)
-            raise StoreUnavailable("no answer")
-        if world.rng.random() < self._late:
-            world.spawn(self._carry_out_late(target, fence))
-            await asyncio.sleep(_CALL_TIMEOUT_S)
-            raise StoreUnavailable("no answer")
+        late_s = await self._travel("promotion ordered", Moment.BEFORE, CLOUD)
+        if not late_s and world.rng.random() < self._late:
+            late_s = world.rng.uniform(0.5, 5.0)
+        if late_s:
+            world.spawn(self._carry_out_late(target, fence, late_s))
+            await self._time_out()
         if world.targets[target].crashed or not world.admits(fence):
             raise FenceRefused(fence)
         world.spawn(world.promote(target))
+        # The order is answered at once.
+        effect = world.on_step("promotion ordered", Moment.AFTER, self._proxy, CLOUD)
+        if effect.is_lost:
+            await self._time_out()
 
-    async def _carry_out_late(self, target: str, fence: int) -> None:
-        await asyncio.sleep(self._world.rng.uniform(0.5, 5.0))
+    async def _carry_out_late(self, target: str, fence: int, late_s: float) -> None:
+        await asyncio.sleep(late_s)
         if self._world.admits(fence):
             await self._world.promote(target)
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -3,6 +3,7 @@
 `python -m rosemaryridge_testbed.schedules --schedules 10000` runs more of them.
 """
 
+import collections
 import unittest
 from unittest import mock
 
@@ -13,12 +14,20 @@
 from rosemaryridge.core.store import ClaimListing
 from rosemaryridge.core.store import _claims
 from rosemaryridge_testbed.schedules import Options
+from rosemaryridge_testbed.schedules import Result
 from rosemaryridge_testbed.schedules import _proxy
+from rosemaryridge_testbed.schedules import _step_faults
 from rosemaryridge_testbed.schedules import explore
+from rosemaryridge_testbed.schedules import explore_steps
+from rosemaryridge_testbed.schedules._step_faults import FAULTS
+from rosemaryridge_testbed.schedules._step_faults import coverage
+from rosemaryridge_testbed.schedules._step_faults import draw_faults
+from rosemaryridge_testbed.schedules._steps import STEPS
 
 _SEEDS = range(1, 25)
 # The first three lost 9, 12 and 2 acknowledged writes.
 _LATE_ORDER_SEEDS = (513, 586, 825, *range(1, 9))
+_STEP_SEEDS = range(1, 17)
 _DEFAULT = Options()
 
 
@@ -57,6 +66,38 @@
         self.assertEqual(explore(3), explore(3))
 
 
+class StepFaultTest(unittest.TestCase):
+    """Guard against faults between two steps of the system's own."""
+
+    def test_no_fault_at_a_step_breaks_a_promise(self):
+        found = {seed: dict(explore_steps(seed).violations) for seed in _STEP_SEEDS}
+        self.assertEqual({s: counts for s, counts in found.items() if counts}, {})
+
+    def test_each_fault_is_drawn_at_each_rare_step(self):
+        rare = [name for name in STEPS if name not in _step_faults._COMMON_STEPS]
+        pairs = {(step, fault) for step in rare for fault in FAULTS}
+        seeds = range(1, 2 * len(pairs) + 1)
+        drawn = {(f.step, f.fault) for seed in seeds for f in draw_faults(seed)}
+        self.assertLessEqual(pairs, drawn)
+
+    def test_a_seed_replays_the_same_faults(self):
+        result = explore_steps(5)
+        self.assertEqual(explore_steps(5), result)
+        table = coverage([result])
+        struck = sum(counts.total() for counts in table.values())
+        self.assertEqual(struck, len(result.faults_met))
+
+    def test_the_fewest_faults_of_a_failing_seed_are_kept(self):
+        # Only the second fault breaks something.
+        def play(seed, keep=None):
+            broken = keep is None or 1 in keep
+            return Result(seed, violations=collections.Counter(lost=int(broken)))
+
+        with mock.patch.object(_step_faults, "explore_steps", play):
+            play_counts = _step_faults.shrink(3)
+        self.assertEqual(play_counts, [1])
+
+
 class PlantedFaultTest(ScheduleCase):
     """The exploration finds each way to break a promise."""
 
