--- a/tests/integration/test_site_businesses.py
+++ b/tests/integration/test_site_businesses.py
@@ -80,6 +80,15 @@
             await client.read_line()
         for key in ("shop-key", "nobody"):
             self.assertTrue((await self.refusal(key)).startswith("ERROR UNAUTH"))
+        # A version that cannot be read changes nothing, and neither does a restart.
+        self.site.store.write("config", "main", {"version": 3, "tenants": [7]})
+        await self.until(lambda: "config_unreadable" in self.events())
+        self.assertTrue((await self.refusal("nobody")).startswith("ERROR UNAUTH"))
+        self.site.publish(4, businesses=())
+        self.addresses.clear()
+        await self._start_proxy(self.log_path.parent, "vm-late", first_start=False)
+        await self.until(lambda: self.entries[-1]._proxy.ready)
+        self.assertTrue((await self.refusal("nobody")).startswith("ERROR UNAUTH"))
 
     async def test_an_open_route_serves_callers_without_a_key(self):
         self.site.publish(2, allow_anonymous=True)
