--- a/tests/integration/test_site_synchronous.py
+++ b/tests/integration/test_site_synchronous.py
@@ -76,21 +76,36 @@
 
 
 class PromotionTest(SynchronousCase):
-    async def test_a_replica_that_joins_before_a_promotion_takes_effect(self):
-        # The former primary was back and acknowledged by the replica that joined.
-        async def strike(name):
-            joined = SiteTarget("books-9", self.group, report=self.site.register)
-            await joined.start()
-            self.addAsyncCleanup(joined.crash)
-            self.site.register(joined)
-            await self.restart_primary()
-
+    async def join_replica(self):
+        joined = SiteTarget("books-9", self.group, report=self.site.register)
+        await joined.start()
+        self.addAsyncCleanup(joined.crash)
+        self.site.register(joined)
+
+    async def replace_primary(self, strike):
+        """Crash the primary, and call a function once a promotion is ordered."""
         self.on_order(strike)
         await self.target(0).crash()
         await self.until(lambda: self.group.term == 2)
         await self.until_served()
         self.assert_kept()
 
+    async def test_a_replica_that_joins_before_a_promotion_takes_effect(self):
+        # The former primary was back and acknowledged by the replica that joined.
+        async def strike(name):
+            await self.join_replica()
+            await self.restart_primary()
+
+        await self.replace_primary(strike)
+
+    async def test_a_replica_that_joins_after_the_primary_is_back(self):
+        async def strike(name):
+            await self.restart_primary()
+            await asyncio.sleep(0.3)
+            await self.join_replica()
+
+        await self.replace_primary(strike)
+
     async def test_no_order_decides_what_a_replica_receives(self):
         # A RESUME that was carried out late ended the hold of the next attempt, and the
         # former primary went on acknowledging.
@@ -100,11 +115,19 @@
                 if target.name != name:
                     await target._resume(None, "")
 
-        self.on_order(strike)
-        await self.target(0).crash()
-        await self.until(lambda: self.group.term == 2)
-        await self.until_served()
-        self.assert_kept()
+        await self.replace_primary(strike)
+
+    async def test_a_replica_that_restarts_before_a_promotion_takes_effect(self):
+        # A restart ended its hold: 10 acknowledged writes were lost.
+        async def strike(name):
+            await self.restart_primary()
+            for target in list(self.group.targets.values()):
+                if target.name not in (name, "books-0"):
+                    await target.crash()
+                    await asyncio.sleep(0.1)
+                    await target.restart()
+
+        await self.replace_primary(strike)
 
 
 class LateOrderTest(SynchronousCase):
