Lease a settled primary once accepted orders have taken effect

A schedule with faults at steps lost an acknowledged write (sync_replicas 1, fences checked): an order that was carried out late was accepted just before the one that voids it, the primary was leased at once, and 0.5 s later the other target led.

Cause: an accepted order takes effect some hundred ms later, and a newer one does not void it.

Change: while an earlier order may still be carried out, the claim names nobody until 1.5 s after the newer order was answered, and then only a target that says that it leads.

--- a/src/rosemaryridge/core/_failover.py
+++ b/src/rosemaryridge/core/_failover.py
@@ -60,6 +60,9 @@
 # than _ORDER_EXPIRY_S, so that the order may still be sent.
 _STEP_DOWN_TIMEOUT_S = 1.5
 _RETRY_S = 0.3
+# An order that was accepted takes effect within 1 s; until then it is not voided. Less
+# than the time for which the claim of this proxy is awaited by others.
+_ACCEPTED_ORDER_S = 1.5
 # Time between two looks at a claim whose order may still be carried out.
 _SETTLE_RETRY_S = 2.0
 # Start delays are spread over this time per proxy: among many proxies that detect the
@@ -303,14 +306,15 @@
             )
         await asyncio.sleep(due_at - boottime())
         if chooses_later:
-            decision, term = await self._choose_after_leases(group, plan)
+            decision = await self._choose_after_leases(group, plan)
             expires_at = self._claims.order_expires_at(claimed_at, delay_s)
-            if decision.leads:
-                return await self._keep_primary(
+            voids = plan.last_order is OrderState.VOIDED_BY_NEXT
+            if decision.leads or voids and decision.target is not None:
+                return await self._settle_claim(
                     group,
                     plan,
-                    decision.primary,
-                    dataclasses.replace(new_claim, term=term),
+                    decision.target or decision.primary,
+                    new_claim.fence,
                     revision,
                     lambda: boottime() < expires_at and self._era.current == era,
                 )
@@ -335,11 +339,10 @@
 
     async def _choose_after_leases(
         self, group: Group, plan: "_Plan"
-    ) -> tuple[PromotionDecision, int]:
+    ) -> PromotionDecision:
         """Choose the successor by what the targets have received by now.
 
         Targets that joined meanwhile may hold what the former primary acknowledged.
-        Returns the newest term as well.
         """
         await self.refresh_targets(group)
         conditions = await self._fetch_conditions_of(group.targets.values())
@@ -349,10 +352,9 @@
             received={name: str(cond.received) for name, cond in conditions.items()},
             silent=sorted(group.targets.keys() - conditions.keys()),
         )
-        decision = choose_successor(
+        return choose_successor(
             group, plan.claim, conditions, plan.accept_partial, plan.last_order
         )
-        return decision, max((cond.term for cond in conditions.values()), default=0)
 
     async def _settle(self, group: Group) -> bool:
         """End a claim whose order has not replaced the primary.
@@ -379,41 +381,47 @@
         )
         return await self._carry_out(group, plan)
 
-    async def _keep_primary(
+    async def _settle_claim(
         self,
         group: Group,
         plan: "_Plan",
-        primary: Target,
-        claim: Claim,
+        target: Target,
+        fence: int,
         revision: int,
         may_send: t.Callable[[], bool],
     ) -> bool:
-        """Settle this proxy's claim on a group whose primary leads on.
+        """Name a target in this proxy's claim once no other one can be promoted.
 
-        An earlier order that may still be carried out is voided first, by one for the
-        primary with a higher fence, which changes nothing. Only then is the primary
-        named, and so leased. Where fences are not checked nothing voids an order.
+        The target leads, or is to lead. An earlier order that may still be carried out
+        is voided first, by one for the target with a higher fence, which changes
+        nothing if it leads; what was accepted just before takes effect later. Only
+        then is the target named, and so leased. Where fences are not checked nothing
+        voids an order.
         """
         if plan.last_order is OrderState.PENDING:
-            why = f"{primary.id} leads, and {plan.claim.target} may still be promoted"
+            why = f"{target.id} leads, and {plan.claim.target} may still be promoted"
             self._log_not_promoted(group, plan.reason, why)
             return False
-        if plan.last_order is OrderState.VOIDED_BY_NEXT and not await self._send_order(
-            group, primary, claim.fence, may_send
-        ):
+        if plan.last_order is OrderState.VOIDED_BY_NEXT:
+            if not await self._send_order(group, target, fence, may_send):
+                return False
+            await asyncio.sleep(_ACCEPTED_ORDER_S)
+        condition = await self._fetch_condition(target)
+        if condition is None or not condition.primary:
+            self._log_not_promoted(group, plan.reason, f"{target.id} does not lead")
             return False
-        settled = Claim(claim.fence + 1, self._vm, claim.term - 1, primary.id)
+        settled = Claim(fence + 1, self._vm, condition.term - 1, target.id)
         if not await self._claims.put(group.service, settled, revision):
             return False
         self._log.write(
             "claim_settled",
             service=group.service,
-            primary=primary.id,
-            term=claim.term,
+            primary=target.id,
+            term=condition.term,
             fence=settled.fence,
             last_order=plan.last_order.value,
         )
-        await group.probe_primary(primary)
+        await group.probe_primary(target)
         return True
 
     async def _claim_for(
@@ -568,7 +576,11 @@
 
     def _order_state(self, group: Group, claim: Claim, revision: int) -> OrderState:
         return self._claims.order_state(
-            group.service, claim, revision, self._order_delay_s(group)
+            group.service,
+            claim,
+            revision,
+            self._order_delay_s(group),
+            group.sync_replicas > 0,
         )
 
     async def _promote(
--- a/src/rosemaryridge/core/promotions/_claim_register.py
+++ b/src/rosemaryridge/core/promotions/_claim_register.py
@@ -21,6 +21,8 @@
 _ORDER_EXPIRY_S = 2.3
 # An order without an answer may be carried out seconds later.
 _LATE_ORDER_S = 10.0
+# The same where commits depend on it: 12 s, and 1 s until it takes effect.
+_LATE_ORDER_OF_COMMITS_S = 13.0
 _POLL_S = 0.06
 
 
@@ -124,15 +126,24 @@
         return now - since < _HOLD_S + delay_s
 
     def order_state(
-        self, service: str, claim: Claim, revision: int, delay_s: float
+        self,
+        service: str,
+        claim: Claim,
+        revision: int,
+        delay_s: float,
+        commits_depend: bool,
     ) -> OrderState:
-        """Return what may still become of the order of a claim."""
+        """Return what may still become of the order of a claim.
+
+        `commits_depend` is whether commits are passed on once it has ended.
+        """
         if claim.fence == 0 or self._undone_fences.get(service) == claim.fence:
             return OrderState.ENDED
         now = asyncio.get_running_loop().time()
         known, since = self._seen.get(service, (0, now))
-        sent_within_s = delay_s + _ORDER_EXPIRY_S
-        if revision == known and now - since > sent_within_s + _LATE_ORDER_S:
+        late_s = _LATE_ORDER_OF_COMMITS_S if commits_depend else _LATE_ORDER_S
+        ends_after_s = delay_s + _ORDER_EXPIRY_S + late_s
+        if revision == known and now - since > ends_after_s:
             return OrderState.ENDED
         return OrderState.VOIDED_BY_NEXT if self._checks_fences else OrderState.PENDING
 
--- a/src/rosemaryridge_testbed/schedules/_step_faults.py
+++ b/src/rosemaryridge_testbed/schedules/_step_faults.py
@@ -224,12 +224,14 @@
     keep: t.Collection[int] | None = None,
     trace: bool = False,
     options: Options | None = None,
+    faults: t.Sequence[StepFault] | None = None,
 ) -> Result:
     """Run the schedule of a seed with faults at steps; return its counts.
 
-    `keep` names the faults to strike, by their places in the seed's list.
+    `keep` names the faults to strike, by their places in the seed's list. Settings and
+    faults may be given in place of those that the seed draws.
     """
-    faults = draw_faults(seed)
+    faults = draw_faults(seed) if faults is None else faults
     if keep is not None:
         faults = tuple(f for place, f in enumerate(faults) if place in keep)
     options = options or draw_options(seed)
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -20,9 +20,11 @@
 from rosemaryridge_testbed.schedules import explore
 from rosemaryridge_testbed.schedules import explore_steps
 from rosemaryridge_testbed.schedules._step_faults import FAULTS
+from rosemaryridge_testbed.schedules._step_faults import StepFault
 from rosemaryridge_testbed.schedules._step_faults import coverage
 from rosemaryridge_testbed.schedules._step_faults import draw_faults
 from rosemaryridge_testbed.schedules._steps import STEPS
+from rosemaryridge_testbed.schedules._steps import Moment
 
 _SEEDS = range(1, 25)
 # The first three lost 9, 12 and 2 acknowledged writes.
@@ -73,6 +75,28 @@
         found = {seed: dict(explore_steps(seed).violations) for seed in _STEP_SEEDS}
         self.assertEqual({s: counts for s, counts in found.items() if counts}, {})
 
+    def test_an_order_that_was_accepted_before_a_newer_one_loses_nothing(self):
+        # The late order for "c" was accepted just before the one that voids it. The
+        # primary was leased at once, and a write that it acknowledged was lost.
+        options = Options(
+            proxies=2,
+            callers=4,
+            faults=0,
+            duration_s=8.0,
+            promotion_s=0.6,
+            restored_stores=False,
+            fenced=True,
+            sync_replicas=1,
+            far_replicas=True,
+            entry_delay_s=3.0,
+        )
+        faults = (
+            StepFault("write", 40, Moment.BEFORE, "crash_primary", 1.5),
+            StepFault("promotion ordered", 1, Moment.BEFORE, "carry_out_late", 1.0),
+        )
+        result = explore_steps(17, options=options, faults=faults)
+        self.assertEqual((len(result.faults_met), dict(result.violations)), (2, {}))
+
     def test_each_fault_is_drawn_at_each_rare_step(self):
         rare = [name for name in STEPS if name not in _step_faults._COMMON_STEPS]
         pairs = {(step, fault) for step in rare for fault in FAULTS}
